--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math"
 
-	"violetfront/balance"
+	"ospreyspan/balance"
 )
 
 // printer is a relay that prints what it is asked to do.
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"violetfront/balance"
-	"violetfront/internal/wire"
+	"ospreyspan/balance"
+	"ospreyspan/internal/wire"
 )
 
 func main() {
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"io"
 
-	"violetfront/balance"
+	"ospreyspan/balance"
 )
 
 // Kind is the kind of an Event.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strings"
 
-	"violetfront/balance"
+	"ospreyspan/balance"
 )
 
 // settings is the part of the start-up object that is understood; the rest is skipped.
--- a/internal/wire/values.go
+++ b/internal/wire/values.go
@@ -7,7 +7,7 @@
 	"math"
 	"strconv"
 
-	"violetfront/balance"
+	"ospreyspan/balance"
 )
 
 // split cuts rest at its spaces into r.parts, into at most limit parts if that is not below 0.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"violetfront/balance"
+	"ospreyspan/balance"
 )
 
 const options = `{"Balancers":4,"Zone":"z","Classes":[{"Name":"c0","Repeat":"free"},` +
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"violetfront/balance"
+	"ospreyspan/balance"
 )
 
 // Writer gathers the actions of one reply and writes it whole.
