--- /dev/null
+++ b/cmd/ospreyspan/config.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"ospreyspan/internal/routes"
+	"ospreyspan/internal/settings"
+)
+
+// config is what the program is told at its start.
+type config struct {
+	Name      string          `json:"name"`
+	Listen    netip.AddrPort  `json:"listen"`
+	Discovery netip.AddrPort  `json:"discovery"`
+	Seed      seed            `json:"seed"`
+	Limits    limits          `json:"limits"`
+	Known     routes.List     `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+	settings  *settings.Settings
+}
+
+type limits struct {
+	MemoryMB int64 `json:"memory_mb"`
+	Sockets  int   `json:"sockets"`
+}
+
+// seed is written in hexadecimal.
+type seed uint64
+
+func (s *seed) UnmarshalText(text []byte) error {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	if err != nil {
+		return fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", text)
+	}
+	*s = seed(n)
+	return nil
+}
+
+// loadConfig reads the configuration that the environment names. What the environment itself says of the
+// addresses goes first.
+func loadConfig(env func(string) string) (*config, error) {
+	path := env("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	c, err := parseConfig(text, env)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return c, nil
+}
+
+func parseConfig(text []byte, env func(string) string) (*config, error) {
+	var c config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, field(text, err)
+	}
+	if name := env("EDGE_NAME"); name != "" {
+		c.Name = name
+	}
+	for _, a := range []struct {
+		name, env string
+		to        *netip.AddrPort
+	}{{"listen", "EDGE_LISTEN", &c.Listen}, {"discovery", "EDGE_DISCOVERY", &c.Discovery}} {
+		if v := env(a.env); v != "" {
+			addr, err := netip.ParseAddrPort(v)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", a.env, err)
+			}
+			*a.to = addr
+		}
+		if !a.to.IsValid() {
+			return nil, fmt.Errorf("%s: missing", a.name)
+		}
+	}
+	if c.Limits.Sockets < 0 || c.Limits.MemoryMB < 0 {
+		return nil, errors.New("limits: a figure below 0")
+	}
+	if err := c.Known.Check(); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	if len(c.Settings) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	var err error
+	if c.settings, err = settings.Decode(c.Settings); err == nil {
+		err = c.settings.Check()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &c, nil
+}
+
+// field finds the field at fault: a type's own decoding fails without naming it.
+func field(text []byte, err error) error {
+	var all map[string]json.RawMessage
+	if json.Unmarshal(text, &all) != nil {
+		return err
+	}
+	for name, to := range map[string]any{
+		"name": new(string), "listen": new(netip.AddrPort), "discovery": new(netip.AddrPort), "seed": new(seed),
+		"limits": new(limits), "known": new(routes.List),
+	} {
+		if raw, ok := all[name]; ok {
+			if e := json.Unmarshal(raw, to); e != nil {
+				return fmt.Errorf("%s: %w", name, e)
+			}
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/poll/timer.go
@@ -0,0 +1,83 @@
+package poll
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Timer calls a function once at a time. Its zero value with Fire set is ready for use; it belongs to whoever
+// embeds it, and whoever arms it disarms it before letting go of it.
+type Timer struct {
+	Fire func()
+	at   time.Time
+	pos  int // index in the heap plus one; 0: not armed
+}
+
+// Armed tells whether the timer is to go off.
+func (t *Timer) Armed() bool { return t.pos > 0 }
+
+// Arm sets the timer, anew if it is armed.
+func (l *Loop) Arm(t *Timer, at time.Time) {
+	t.at = at
+	if t.pos > 0 {
+		heap.Fix(&l.timers, t.pos-1)
+		return
+	}
+	heap.Push(&l.timers, t)
+}
+
+// After sets the timer to go off after d.
+func (l *Loop) After(t *Timer, d time.Duration) { l.Arm(t, l.now.Add(d)) }
+
+// Disarm takes the timer back.
+func (l *Loop) Disarm(t *Timer) {
+	if t.pos > 0 {
+		heap.Remove(&l.timers, t.pos-1)
+	}
+}
+
+// timers is a heap, the next one first.
+type timers []*Timer
+
+func (h timers) Len() int           { return len(h) }
+func (h timers) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h timers) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].pos, h[j].pos = i+1, j+1
+}
+
+// Push and Pop are for container/heap.
+func (h *timers) Push(x any) {
+	t := x.(*Timer)
+	*h = append(*h, t)
+	t.pos = len(*h)
+}
+
+func (h *timers) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.pos = 0
+	return t
+}
+
+// next tells how many milliseconds epoll may wait, -1 for without end. It is rounded up: a wait that ended
+// early would be followed by another turn with nothing to do.
+func (h timers) next(now time.Time) int {
+	if len(h) == 0 {
+		return -1
+	}
+	d := h[0].at.Sub(now)
+	if d <= 0 {
+		return 0
+	}
+	return int(min((d+time.Millisecond-1)/time.Millisecond, time.Hour/time.Millisecond))
+}
+
+// fire calls all timers that are due, also those that others arm for now meanwhile.
+func (h *timers) fire(now time.Time) {
+	for len(*h) > 0 && !(*h)[0].at.After(now) {
+		heap.Pop(h).(*Timer).Fire()
+	}
+}
--- /dev/null
+++ b/internal/proxy/batch.go
@@ -0,0 +1,203 @@
+package proxy
+
+import (
+	"math"
+
+	"ospreyspan/balance"
+	"ospreyspan/internal/poll"
+)
+
+// noReport is a report in which everything is absent.
+var noReport = balance.Report{
+	Load: math.NaN(), CPU: math.NaN(), Active: math.NaN(), Waiting: math.NaN(),
+	Latency: math.NaN(), Rate: math.NaN(), Errors: math.NaN(),
+}
+
+type eventKind uint8
+
+const (
+	evList eventKind = iota
+	evRequest
+	evOpen
+	evUp
+	evEnded
+	evLeft
+	evNote
+	evProbed
+	evTimer
+)
+
+// event is something that happened, for the module.
+type event struct {
+	kind    eventKind
+	x       *Exchange
+	request balance.Request
+	target  string
+	attempt int
+	settled bool
+	outcome balance.Outcome
+	report  balance.Report
+	note    balance.Note
+	level   float64
+	list    balance.ListKind
+	entries []balance.Backend
+	token   uint64
+}
+
+type actionKind uint8
+
+const (
+	acSend actionKind = iota
+	acRefuse
+	acFail
+	acCancel
+	acMove
+	acProbe
+	acWatch
+	acAfter
+)
+
+// action is something that the module asked for.
+type action struct {
+	kind    actionKind
+	id      balance.RequestID
+	target  string
+	span    balance.Duration
+	attempt int
+	token   uint64
+}
+
+func (e *Engine) push(ev event) { e.events = append(e.events, ev) }
+
+// Deliver hands the module all that has happened and then carries out what it asked for. What comes of that at
+// once is handed over at the next turn.
+func (e *Engine) Deliver() {
+	e.events, e.handed = e.handed[:0], e.events
+	now := e.clock()
+	for i := range e.handed {
+		e.hand(now, &e.handed[i])
+		e.handed[i] = event{}
+	}
+	for i := range e.actions {
+		e.carryOut(&e.actions[i])
+	}
+	e.actions = e.actions[:0]
+	for _, x := range e.leaving {
+		if !x.out {
+			e.release(x)
+		}
+	}
+	clear(e.leaving)
+	e.leaving = e.leaving[:0]
+}
+
+func (e *Engine) hand(now balance.Time, ev *event) {
+	switch ev.kind {
+	case evList:
+		e.module.Members(now, ev.list, ev.entries)
+	case evRequest:
+		e.module.Request(now, ev.request)
+	case evOpen:
+		e.module.Open(now, ev.request, ev.target)
+	case evUp:
+		e.module.Started(now, ev.x.id)
+	case evEnded:
+		e.module.Finished(now, ev.x.id, ev.attempt, ev.settled, ev.outcome, ev.report)
+	case evLeft:
+		e.module.Gone(now, ev.x.id)
+	case evNote:
+		e.module.Note(now, ev.x.id, ev.note, ev.level)
+	case evProbed:
+		e.module.Probed(now, ev.target, ev.outcome, ev.report)
+	case evTimer:
+		e.module.Timer(now, ev.token)
+	}
+}
+
+func (e *Engine) carryOut(a *action) {
+	x := e.exchanges[a.id]
+	switch a.kind {
+	case acSend:
+		e.send(x, a)
+	case acRefuse:
+		if x != nil && !x.answered {
+			x.answered = true
+			e.count.Shed++
+			x.client.Shed(fromModule(a.span))
+			e.release(x)
+		}
+	case acFail:
+		if x != nil && !x.answered {
+			x.answered = true
+			e.count.Failed++
+			x.client.Fail()
+			e.release(x)
+		}
+	case acCancel:
+		if x != nil && x.out && !x.standing && a.attempt == x.hops-1 {
+			x.client.Drop()
+			x.Ended(balance.Cancelled, noReport)
+		}
+	case acMove:
+		if x != nil && x.out && x.standing {
+			e.count.Moves++
+			x.client.Move()
+			x.Ended(balance.Cancelled, noReport)
+		}
+	case acProbe:
+		e.count.Probes++
+		if to := e.table.Find(a.target); to != nil {
+			e.prober.Probe(to)
+		} else {
+			e.Probed(a.target, balance.NoConnect, noReport)
+		}
+	case acWatch:
+		e.watch.Start()
+	case acAfter:
+		t, token := &poll.Timer{}, a.token
+		t.Fire = func() { e.push(event{kind: evTimer, token: token}) }
+		e.loop.After(t, fromModule(a.span))
+	}
+}
+
+// send starts a hop. The client may have left, or the target may have stopped, since the module's last event.
+func (e *Engine) send(x *Exchange, a *action) {
+	if x == nil || x.out {
+		return
+	}
+	if x.answered { // the client left in this turn; each of the module's attempts has an end all the same
+		x.hops++
+		e.push(event{kind: evEnded, x: x, attempt: x.hops - 1, settled: true, outcome: balance.NotSent, report: noReport})
+		return
+	}
+	to := e.table.Find(a.target)
+	if to == nil || states[to.Health] != balance.Ready {
+		x.hops++
+		e.push(event{kind: evEnded, x: x, attempt: x.hops - 1, outcome: balance.NoConnect, report: noReport})
+		return
+	}
+	e.hop(x, to, fromModule(a.span))
+}
+
+// host takes the module's actions down; Deliver carries them out.
+type host Engine
+
+func (h *host) add(a action) { h.actions = append(h.actions, a) }
+
+func (h *host) Send(id balance.RequestID, backend string, timeout balance.Duration) {
+	h.add(action{kind: acSend, id: id, target: backend, span: timeout})
+}
+
+func (h *host) Refuse(id balance.RequestID, advice balance.Duration) {
+	h.add(action{kind: acRefuse, id: id, span: advice})
+}
+func (h *host) Fail(id balance.RequestID) { h.add(action{kind: acFail, id: id}) }
+func (h *host) Cancel(id balance.RequestID, attempt int) {
+	h.add(action{kind: acCancel, id: id, attempt: attempt})
+}
+func (h *host) Move(id balance.RequestID) { h.add(action{kind: acMove, id: id}) }
+func (h *host) Probe(backend string)      { h.add(action{kind: acProbe, target: backend}) }
+func (h *host) Watch()                    { h.add(action{kind: acWatch}) }
+func (h *host) After(d balance.Duration, token uint64) {
+	h.add(action{kind: acAfter, span: d, token: token})
+}
--- /dev/null
+++ b/internal/proxy/drain.go
@@ -0,0 +1,100 @@
+package proxy
+
+import (
+	"time"
+
+	"ospreyspan/balance"
+	"ospreyspan/internal/poll"
+)
+
+const (
+	// lateClients is how long new connections may come after SIGTERM.
+	lateClients = 450 * time.Millisecond
+	// longestCounted and killAfter give the time of SIGKILL: the longest wait of a client, counted as that at
+	// the most, and what the platform adds.
+	longestCounted = 3 * time.Second
+	killAfter      = 700 * time.Millisecond
+	// The last moves go out this long before SIGKILL, and the last answers; then the program ends.
+	movesDone   = 1300 * time.Millisecond
+	answersDone = 900 * time.Millisecond
+	ends        = 400 * time.Millisecond
+	drainStep   = 20 * time.Millisecond
+	drainAdvice = time.Second
+)
+
+// drain is a planned stop: clients are asked to move, spread over the time that there is so that their return
+// is no surge for the others, and those who wait are answered.
+type drain struct {
+	on    bool
+	begin time.Time
+	kill  time.Time
+	timer poll.Timer
+	done  func()
+}
+
+// Drain begins a planned stop; done is called when no client is left, or time is.
+func (f *Lines) Drain(done func()) {
+	if f.drain.on {
+		return
+	}
+	longest := time.Duration(0)
+	for _, w := range f.set.Waits {
+		longest = max(longest, min(w, longestCounted))
+	}
+	now := f.loop.Now()
+	f.drain = drain{on: true, begin: now, kill: now.Add(longest + killAfter), done: done}
+	f.drain.timer.Fire = f.drainStep
+	f.log.Printf("stopping: %d sessions", len(f.sessions))
+	f.loop.After(&f.drain.timer, drainStep)
+}
+
+func (f *Lines) drainStep() {
+	d := &f.drain
+	now := f.loop.Now()
+	if now.After(d.kill.Add(-answersDone)) {
+		f.engine.Shutdown(drainAdvice)
+	}
+	f.moveSome(now)
+	if now.Sub(d.begin) > lateClients && f.idle() || now.After(d.kill.Add(-ends)) {
+		f.listener.Close()
+		d.done()
+		return
+	}
+	f.loop.After(&d.timer, drainStep)
+}
+
+// idle tells whether nobody is left but connections that have asked for nothing.
+func (f *Lines) idle() bool {
+	for s := range f.sessions {
+		if s.state != opening {
+			return false
+		}
+	}
+	return true
+}
+
+// moveSome moves as many standing connections as keeps their number falling evenly.
+func (f *Lines) moveSome(now time.Time) {
+	n := 0
+	for s := range f.sessions {
+		if s.state == standing && !s.gone {
+			n++
+		}
+	}
+	left := f.drain.kill.Add(-movesDone).Sub(now)
+	if left > drainStep {
+		steps := int(left / drainStep)
+		n = (n + steps - 1) / steps
+	}
+	for s := range f.sessions {
+		if n <= 0 {
+			return
+		}
+		if s.state == standing && !s.gone {
+			f.count.Moves++
+			s.Move()
+			s.x.Ended(balance.Cancelled, noReport)
+			n--
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/engine.go
@@ -0,0 +1,252 @@
+// Package proxy runs the decision module on real connections. The engine gathers what happens, hands it to the
+// module in one go and carries out what comes back; the front in this package speaks the platform's line
+// protocol with clients and egress targets.
+package proxy
+
+import (
+	"fmt"
+	"log"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"ospreyspan/balance"
+	"ospreyspan/internal/poll"
+	"ospreyspan/internal/routes"
+	"ospreyspan/internal/settings"
+	"ospreyspan/internal/stats"
+)
+
+const (
+	// answerMargin is taken off what the client waits, so that the module's last word reaches it in time.
+	answerMargin = 20 * time.Millisecond
+	// overdueMargin is what is left of the client's time when the engine answers in the module's place.
+	overdueMargin = 5 * time.Millisecond
+	// adoptRest lies between two tries to take up a connection that was open before the start.
+	adoptRest = 100 * time.Millisecond
+)
+
+// Engine drives the module. All of it runs on the loop.
+type Engine struct {
+	loop      *poll.Loop
+	set       *settings.Settings
+	module    *balance.Balancer
+	table     routes.Table
+	watch     *routes.Watch
+	prober    Prober
+	count     *stats.Counters
+	log       *log.Logger
+	base      time.Time // the module's clock is the Unix time of the start plus what passed since
+	exchanges map[balance.RequestID]*Exchange
+	last      balance.RequestID
+	events    []event
+	handed    []event // the other half of events' double buffer
+	actions   []action
+	leaving   []*Exchange // whose clients left: they go once the module knows
+	broken    bool        // discovery's last answer failed
+}
+
+// EngineConfig is what an Engine needs.
+type EngineConfig struct {
+	Loop      *poll.Loop
+	Settings  *settings.Settings
+	Known     *routes.List
+	Discovery netip.AddrPort
+	Seed      uint64
+	Count     *stats.Counters
+	Log       *log.Logger
+}
+
+// NewEngine returns an Engine whose module has started; its first actions are carried out by Deliver.
+func NewEngine(c EngineConfig) (*Engine, error) {
+	e := &Engine{
+		loop: c.Loop, set: c.Settings, count: c.Count, log: c.Log, base: time.Now(),
+		exchanges: make(map[balance.RequestID]*Exchange),
+	}
+	module, err := balance.New(c.Settings.Config, c.Seed, (*host)(e))
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	e.module = module
+	e.watch = routes.NewWatch(c.Loop, c.Discovery, c.Known.Seq, rand.New(rand.NewPCG(c.Seed, 1)), e.news)
+	module.Start(e.clock())
+	e.table.Merge(c.Known)
+	e.push(event{kind: evList, list: balance.ListStale, entries: backends(c.Known.Hosts)})
+	return e, nil
+}
+
+// clock is the module's time: it does not go back when the machine's clock is set.
+func (e *Engine) clock() balance.Time {
+	return e.base.UnixMicro() + toModule(e.loop.Now().Sub(e.base))
+}
+
+// Pending tells whether events wait for Deliver: the loop must not sleep then.
+func (e *Engine) Pending() bool { return len(e.events) > 0 || len(e.actions) > 0 }
+
+// Take takes a client's request.
+func (e *Engine) Take(c Client, o Offer) *Exchange {
+	x := e.add(c, o)
+	e.push(event{kind: evRequest, x: x, request: x.request})
+	return x
+}
+
+// Adopt takes a connection that an egress target holds since before the start. The module hears of it once it
+// stands; no other target can take it.
+func (e *Engine) Adopt(c Client, o Offer, id string) *Exchange {
+	x := e.add(c, o)
+	x.adopt = id
+	e.tryAdopt(x)
+	return x
+}
+
+func (e *Engine) add(c Client, o Offer) *Exchange {
+	e.last++
+	e.count.Exchanges++
+	class, ok := e.set.Classes[o.Class]
+	if !ok {
+		class = -1
+	}
+	x := &Exchange{id: e.last, engine: e, client: c, deadline: e.loop.Now().Add(o.Wait)}
+	x.request = balance.Request{
+		ID: x.id, Class: class, Tenant: -1, Key: o.Key, Again: o.Again,
+		Left: toModule(max(o.Wait-answerMargin, 0)),
+	}
+	if e.set.Config.Groups {
+		x.request.Group = o.Group
+	}
+	e.exchanges[x.id] = x
+	x.timer.Fire = func() { e.overdue(x) }
+	e.loop.Arm(&x.timer, x.deadline.Add(-overdueMargin))
+	return x
+}
+
+// release forgets an exchange with which nothing more happens: the one place where its entry and its timer are
+// given back.
+func (e *Engine) release(x *Exchange) {
+	e.loop.Disarm(&x.timer)
+	delete(e.exchanges, x.id)
+}
+
+// overdue answers a client whose time is nearly up. The module's own time ends earlier, so that this is the
+// last resort that keeps one final answer a certainty.
+func (e *Engine) overdue(x *Exchange) {
+	if x.answered {
+		return
+	}
+	e.count.Overdue++
+	x.client.Shed(0)
+	x.Left()
+}
+
+// Shutdown gives every exchange that has no answer yet its final one.
+func (e *Engine) Shutdown(after time.Duration) {
+	for _, x := range e.exchanges {
+		if !x.answered {
+			e.count.Shed++
+			x.client.Shed(after)
+			x.Left()
+		}
+	}
+}
+
+func (e *Engine) tryAdopt(x *Exchange) {
+	to := e.table.Find(x.adopt)
+	if to == nil {
+		e.adoptAgain(x, balance.NoConnect)
+		return
+	}
+	e.hop(x, to, x.deadline.Sub(e.loop.Now()))
+}
+
+// adoptAgain tries once more after a hop that never ran: the route table may be old, the target busy with all
+// the others that are opened at the start.
+func (e *Engine) adoptAgain(x *Exchange, o balance.Outcome) {
+	if x.answered {
+		e.release(x)
+		return
+	}
+	if left := x.deadline.Sub(e.loop.Now()); !o.NeverRan() || left < 2*adoptRest {
+		x.answered = true
+		e.count.Failed++
+		x.client.Fail()
+		e.release(x)
+		return
+	}
+	t := &poll.Timer{}
+	t.Fire = func() {
+		if !x.answered {
+			e.tryAdopt(x)
+		}
+	}
+	e.loop.After(t, adoptRest)
+}
+
+func (e *Engine) hop(x *Exchange, to *routes.Target, wait time.Duration) {
+	x.target, x.out = to, true
+	x.hops++
+	e.count.Hops++
+	x.client.Hop(to, wait)
+}
+
+// Probed tells what came of a probe.
+func (e *Engine) Probed(id string, o balance.Outcome, rep balance.Report) {
+	if o != balance.OK {
+		e.count.ProbesFailed++
+	}
+	e.push(event{kind: evProbed, target: id, outcome: o, report: rep})
+}
+
+// news takes an answer of discovery, or why there was none.
+func (e *Engine) news(l *routes.List, err error) {
+	if err != nil {
+		e.count.WatchesFailed++
+		if !e.broken {
+			e.log.Printf("discovery: %v", err)
+		}
+		e.broken = true
+		e.push(event{kind: evList, list: balance.ListBroken})
+		return
+	}
+	if e.broken {
+		e.log.Printf("discovery: answers again")
+	}
+	e.broken = false
+	kind := balance.ListPatch
+	if l.Whole {
+		kind = balance.ListWhole
+	}
+	stopped := e.table.Merge(l)
+	e.push(event{kind: evList, list: kind, entries: backends(l.Hosts)})
+	for _, id := range stopped {
+		e.recall(id)
+	}
+}
+
+// recall gives up the hops that have not reached a target which takes no new work: one that is still
+// connecting could be sent after the time that the rules leave for that.
+func (e *Engine) recall(id string) {
+	for _, x := range e.exchanges {
+		if x.out && !x.standing && x.adopt == "" && x.target.ID == id && x.client.Recall() {
+			x.Ended(balance.NoConnect, noReport)
+		}
+	}
+}
+
+func (e *Engine) countEnd(o balance.Outcome) {
+	switch o {
+	case balance.OK:
+		e.count.HopOK++
+	case balance.Error:
+		e.count.HopError++
+	case balance.Full:
+		e.count.HopFull++
+	case balance.TimedOut:
+		e.count.HopTimeout++
+	case balance.NoConnect, balance.NotSent:
+		e.count.HopNoConnect++
+	case balance.Broken:
+		e.count.HopBroken++
+	case balance.Cancelled:
+		e.count.HopCancelled++
+	}
+}
--- /dev/null
+++ b/internal/proxy/front.go
@@ -0,0 +1,126 @@
+package proxy
+
+import (
+	"time"
+
+	"ospreyspan/balance"
+	"ospreyspan/internal/poll"
+	"ospreyspan/internal/routes"
+)
+
+// This file is the line between the engine, which hands events to the decision module and keeps the rules, and
+// a front, which speaks one protocol with clients and egress targets. Neither knows more of the other.
+
+// Client is one exchange at its front. The engine asks; what comes of it the front tells the Exchange.
+type Client interface {
+	// Hop passes the request on to an egress target and waits that long for its word.
+	Hop(to *routes.Target, wait time.Duration)
+	// Recall gives the hop up if nothing of the request has been written yet, and tells whether it did.
+	Recall() bool
+	// Drop gives the hop up.
+	Drop()
+	// Shed refuses the client: it may come again, after that time if it is above 0.
+	Shed(after time.Duration)
+	// Fail tells the client that its request failed.
+	Fail()
+	// Move asks the client of a standing connection to come again, and closes both sides.
+	Move()
+}
+
+// Prober asks an egress target for its load report and tells Engine.Probed, once for each call.
+type Prober interface {
+	Probe(to *routes.Target)
+}
+
+// Offer is what a front tells of a new exchange.
+type Offer struct {
+	Class, Key, Group string
+	Wait              time.Duration // until the client gives up
+	Again             bool          // its last connection was moved or broke
+}
+
+// Exchange is one request of a client, from its arrival to the end of its last hop or standing connection.
+type Exchange struct {
+	id       balance.RequestID
+	engine   *Engine
+	client   Client
+	request  balance.Request
+	target   *routes.Target // of the last hop
+	hops     int            // hops so far
+	out      bool           // a hop is out, or its connection stands
+	standing bool
+	answered bool   // the client has its final answer, or left
+	adopt    string // the egress target that holds the connection since before the start; not the module's to place
+	deadline time.Time
+	timer    poll.Timer
+}
+
+// Up tells that the hop's connection stands. It returns false if the client is not there any more.
+func (x *Exchange) Up() bool {
+	if x.answered {
+		return false
+	}
+	x.answered, x.standing = true, true
+	x.engine.loop.Disarm(&x.timer)
+	x.engine.count.Up++
+	x.engine.count.Standing++
+	if x.adopt != "" {
+		x.engine.push(event{kind: evOpen, x: x, request: x.request, target: x.target.ID})
+	} else {
+		x.engine.push(event{kind: evUp, x: x})
+	}
+	return true
+}
+
+// served tells that the target served the request to its end with its first word.
+func (x *Exchange) served() {
+	x.answered = true
+	x.engine.count.Up++
+}
+
+// Ended tells how the hop or the standing connection ended.
+func (x *Exchange) Ended(o balance.Outcome, rep balance.Report) {
+	if !x.out {
+		return
+	}
+	x.out = false
+	x.engine.countEnd(o)
+	if x.adopt != "" && !x.standing {
+		x.engine.adoptAgain(x, o)
+		return
+	}
+	settled := x.answered
+	x.engine.push(event{kind: evEnded, x: x, attempt: x.hops - 1, settled: settled, outcome: o, report: rep})
+	if settled {
+		x.engine.release(x)
+	}
+}
+
+// Left tells that the client left before it had its answer.
+func (x *Exchange) Left() {
+	if x.answered {
+		return
+	}
+	x.answered = true
+	x.engine.count.Left++
+	if x.adopt == "" {
+		x.engine.push(event{kind: evLeft, x: x})
+	} else if x.out {
+		x.client.Drop()
+		x.out = false
+	}
+	if !x.out {
+		x.engine.leaving = append(x.engine.leaving, x)
+	}
+}
+
+// Delay tells how long a message takes at the standing connection's egress target.
+func (x *Exchange) Delay(d time.Duration) {
+	x.engine.push(event{kind: evNote, x: x, note: balance.NoteDelay,
+		level: float64(d) / float64(time.Millisecond)})
+}
+
+// Load tells the standing connection's load, in microseconds of work a second.
+func (x *Exchange) Load(level float64) {
+	x.engine.push(event{kind: evNote, x: x, note: balance.NoteLoad, level: level})
+}
--- /dev/null
+++ b/internal/proxy/hop.go
@@ -0,0 +1,215 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"ospreyspan/balance"
+	"ospreyspan/internal/line"
+	"ospreyspan/internal/poll"
+	"ospreyspan/internal/routes"
+)
+
+type hopState uint8
+
+const (
+	hopDialing hopState = iota // nothing of the request is written
+	hopSending                 // a part of it is
+	hopAsking                  // all of it is: it may have run
+	hopStanding
+	hopEnded
+)
+
+// hop is one connection to an egress target on behalf of a client. Its session owns it; the hop owns its link
+// and its timer.
+type hop struct {
+	s     *session
+	peer  *peer
+	link  link
+	state hopState
+	until time.Time // the target's word is awaited until then
+	timer poll.Timer
+	// While it stands:
+	asked time.Time // the client's line that waits for the target's; zero: none
+	heard time.Time // the target's last line
+	bye   balance.Outcome
+	said  bool // the target has said how the connection ends
+}
+
+func (s *session) startHop(to *routes.Target, wait time.Duration) {
+	f := s.front
+	h := &hop{s: s, peer: f.peer(to), until: f.loop.Now().Add(wait)}
+	h.timer.Fire = h.due
+	sock, err := f.loop.Dial(to.Addr, h)
+	if err != nil {
+		s.x.Ended(balance.NoConnect, noReport)
+		return
+	}
+	h.link.sock = sock
+	s.hop = h
+	f.loop.After(&h.timer, min(wait, f.set.DialTimeout))
+}
+
+// end gives back the hop's timer; its link is closed or reset by whoever ends the hop.
+func (h *hop) end() {
+	h.s.front.loop.Disarm(&h.timer)
+	h.state = hopEnded
+}
+
+// over ends the hop with an outcome, before its connection stood.
+func (h *hop) over(o balance.Outcome, rep balance.Report) {
+	h.s.endHop()
+	h.s.x.Ended(o, rep)
+}
+
+// Ready is called by the loop.
+func (h *hop) Ready(r poll.Ready) {
+	switch {
+	case h.state == hopDialing:
+		if err := h.link.sock.Established(); err != nil {
+			h.over(balance.NoConnect, noReport)
+			return
+		}
+		h.send()
+		return
+	case r.Write && len(h.link.out) > 0:
+		if err := h.link.flush(); err != nil {
+			h.broke()
+			return
+		}
+		if h.state == hopSending && len(h.link.out) == 0 {
+			h.state = hopAsking
+		}
+		if h.state == hopStanding && !h.link.behind() {
+			h.s.listen(true)
+		}
+	}
+	if h.state != hopEnded && (r.Read && !h.link.ended || r.Hangup) {
+		h.read()
+	}
+}
+
+// send passes the client's first line on.
+func (h *hop) send() {
+	f := h.s.front
+	left := h.until.Sub(f.loop.Now())
+	f.line = h.s.open.Append(f.line[:0], left)
+	if err := h.link.write(f.line); err != nil {
+		h.over(balance.NoConnect, noReport)
+		return
+	}
+	h.state = hopAsking
+	if len(h.link.out) > 0 {
+		h.state = hopSending
+	}
+	h.link.want()
+	f.loop.Arm(&h.timer, h.until)
+}
+
+func (h *hop) read() {
+	lines, err := h.link.fill(h.s.front.scratch)
+	switch {
+	case err == nil && h.state == hopStanding:
+		h.pass(lines)
+	case err == nil:
+		if len(lines) > 0 {
+			h.answer(lines)
+		}
+	case errors.Is(err, line.ErrTooLong):
+		h.s.front.log.Printf("egress target %s: line over 4096 bytes; closed", h.peer.id)
+		if h.state == hopStanding {
+			h.s.abandon(balance.Broken)
+		} else {
+			h.over(balance.Error, noReport)
+		}
+	case errors.Is(err, io.EOF) && h.state == hopStanding:
+		h.finished()
+	default:
+		h.broke()
+	}
+}
+
+// answer takes the target's first word on the request.
+func (h *hop) answer(lines []byte) {
+	first, more := line.Next(lines)
+	text := line.Text(first)
+	word, rest := line.ParseWord(text)
+	switch word {
+	case line.Up:
+		h.up(first, more)
+	case line.Bye: // served to its end already: the client gets the target's word as it is
+		s, rep := h.s, h.report(rest)
+		s.endHop()
+		s.x.served()
+		s.x.Ended(balance.OK, rep)
+		s.last(first)
+	case line.Move:
+		h.over(balance.Cancelled, noReport)
+	case line.Busy:
+		h.over(balance.Full, h.report(rest))
+	default:
+		if word != line.Err {
+			h.s.front.log.Printf("egress target %s: unknown answer %.40q", h.peer.id, text)
+		}
+		h.over(balance.Error, h.report(rest))
+	}
+}
+
+// up makes the connection stand: the client gets the line that the target made for it.
+func (h *hop) up(first, more []byte) {
+	s := h.s
+	if !s.x.Up() {
+		h.over(balance.Cancelled, noReport)
+		return
+	}
+	s.front.loop.Disarm(&h.timer)
+	s.state, h.state = standing, hopStanding
+	h.heard = s.front.loop.Now()
+	if err := s.link.write(first); err != nil {
+		s.broke()
+		return
+	}
+	if len(more) > 0 {
+		h.pass(more)
+	}
+	if s.state == standing && len(s.link.rest) > 0 { // lines that the client sent before its answer
+		whole, rest, _ := line.Whole(s.link.rest)
+		s.link.rest = append([]byte(nil), rest...)
+		s.pass(whole)
+	}
+}
+
+func (h *hop) report(text []byte) balance.Report {
+	rep := noReport
+	line.Figures(text, func(name string, v float64) { h.s.front.set.Put(&rep, name, v) })
+	return rep
+}
+
+// due is called by the timer.
+func (h *hop) due() {
+	switch h.state {
+	case hopDialing, hopSending:
+		h.over(balance.NoConnect, noReport)
+	case hopAsking:
+		h.over(balance.TimedOut, noReport)
+	case hopStanding:
+		h.quiet()
+	}
+}
+
+// broke deals with a connection to the target that broke, or ended before it stood.
+func (h *hop) broke() {
+	switch h.state {
+	case hopDialing, hopSending:
+		h.over(balance.NoConnect, noReport)
+	case hopAsking:
+		h.over(balance.Broken, noReport)
+	case hopStanding: // the client's side ends the same way
+		s := h.s
+		s.endHop()
+		s.x.Ended(h.ending(balance.Broken), noReport)
+		s.link.reset()
+		s.close()
+	}
+}
--- /dev/null
+++ b/internal/proxy/probe.go
@@ -0,0 +1,172 @@
+package proxy
+
+import (
+	"time"
+
+	"ospreyspan/balance"
+	"ospreyspan/internal/line"
+	"ospreyspan/internal/poll"
+	"ospreyspan/internal/routes"
+)
+
+// peer is what the front keeps of an egress target: the connection for probes, which is used again until it has
+// been idle for as long as the settings say, and what was last told of messages there.
+type peer struct {
+	front *Lines
+	id    string
+	to    *routes.Target
+	link  link
+	state probeState
+	used  bool // the connection has answered a probe
+	timer poll.Timer
+	told  time.Time // the last note on slow messages
+	slow  bool
+}
+
+type probeState uint8
+
+const (
+	probeNone probeState = iota
+	probeDialing
+	probeAsking
+	probeIdle
+)
+
+var statsLine = []byte("STATS\r\n")
+
+func (f *Lines) peer(to *routes.Target) *peer {
+	p := f.peers[to.ID]
+	if p == nil {
+		p = &peer{front: f, id: to.ID}
+		p.timer.Fire = p.due
+		f.peers[to.ID] = p
+	}
+	if p.to != nil && p.to.Addr != to.Addr && p.state == probeIdle {
+		p.hangUp()
+	}
+	p.to = to
+	return p
+}
+
+// Probe asks an egress target for its report.
+func (f *Lines) Probe(to *routes.Target) {
+	p := f.peer(to)
+	switch p.state {
+	case probeNone:
+		p.dial()
+	case probeIdle:
+		p.ask()
+	}
+	// Otherwise a probe is out, and its answer serves for this one: the module asks once at a time.
+}
+
+func (p *peer) dial() {
+	sock, err := p.front.loop.Dial(p.to.Addr, p)
+	if err != nil {
+		p.front.engine.Probed(p.id, balance.NoConnect, noReport)
+		return
+	}
+	p.link.sock, p.state = sock, probeDialing
+	p.front.loop.After(&p.timer, p.front.set.DialTimeout)
+}
+
+func (p *peer) ask() {
+	p.state = probeAsking
+	p.front.loop.After(&p.timer, p.front.set.DialTimeout*5/4)
+	if err := p.link.write(statsLine); err != nil {
+		p.broke()
+		return
+	}
+	p.link.want()
+}
+
+func (p *peer) hangUp() {
+	p.front.loop.Disarm(&p.timer)
+	p.link.close()
+	p.state, p.used = probeNone, false
+}
+
+// failed ends a probe without a report. The connection goes too: a late answer would pass for the next one's.
+func (p *peer) failed(o balance.Outcome) {
+	p.hangUp()
+	p.front.engine.Probed(p.id, o, noReport)
+}
+
+// broke deals with a connection that broke. One that was kept may have been closed as idle just when it was
+// used again: the probe has not run and goes out on a new one.
+func (p *peer) broke() {
+	switch {
+	case p.state == probeIdle:
+		p.hangUp()
+	case p.state == probeAsking && p.used:
+		p.hangUp()
+		p.dial()
+	case p.state == probeDialing:
+		p.failed(balance.NoConnect)
+	default:
+		p.failed(balance.Broken)
+	}
+}
+
+// Ready is called by the loop.
+func (p *peer) Ready(r poll.Ready) {
+	if p.state == probeDialing {
+		if p.link.sock.Established() != nil {
+			p.failed(balance.NoConnect)
+			return
+		}
+		p.ask()
+		return
+	}
+	if r.Write && len(p.link.out) > 0 && p.link.flush() != nil {
+		p.broke()
+		return
+	}
+	if !r.Read {
+		return
+	}
+	lines, err := p.link.fill(p.front.scratch)
+	if err != nil {
+		p.broke()
+		return
+	}
+	if len(lines) > 0 {
+		p.answer(lines)
+	}
+}
+
+func (p *peer) answer(lines []byte) {
+	first, more := line.Next(lines)
+	word, rest := line.ParseWord(line.Text(first))
+	if p.state != probeAsking || len(more) > 0 || word != line.Pong && word != line.Err {
+		p.front.log.Printf("egress target %s: unknown answer to a probe %.40q", p.id, line.Text(first))
+		if p.state == probeAsking {
+			p.failed(balance.Error)
+		} else {
+			p.hangUp()
+		}
+		return
+	}
+	rep, o := noReport, balance.OK
+	if word == line.Err {
+		o = balance.Error
+	}
+	line.Figures(rest, func(name string, v float64) { p.front.set.Put(&rep, name, v) })
+	p.state, p.used = probeIdle, true
+	p.front.loop.Disarm(&p.timer)
+	if idle := p.front.set.ConnIdle; idle > 0 {
+		p.front.loop.After(&p.timer, idle)
+	}
+	p.front.engine.Probed(p.id, o, rep)
+}
+
+func (p *peer) due() {
+	switch p.state {
+	case probeDialing:
+		p.failed(balance.NoConnect)
+	case probeAsking:
+		p.failed(balance.TimedOut)
+	default:
+		p.hangUp()
+	}
+}
--- /dev/null
+++ b/internal/proxy/session.go
@@ -0,0 +1,305 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"ospreyspan/balance"
+	"ospreyspan/internal/line"
+	"ospreyspan/internal/poll"
+	"ospreyspan/internal/routes"
+)
+
+type sessionState uint8
+
+const (
+	opening  sessionState = iota // the client's first line is to come
+	waiting                      // it waits for its answer
+	standing                     // lines pass both ways
+	closing                      // it has its last line
+	closed
+)
+
+// session is one client's connection. It owns the link, its timer and the hop that is out for it.
+type session struct {
+	front *Lines
+	link  link
+	state sessionState
+	open  line.Open
+	x     *Exchange
+	hop   *hop
+	timer poll.Timer
+	gone  bool // standing: the client has ended its sending
+}
+
+var (
+	moveLine   = []byte("MOVE\r\n")
+	failLine   = []byte("ERR\r\n")
+	pongLine   = []byte("PONG\r\n")
+	noLine     = []byte("NO\r\n")
+	syntaxLine = []byte("SYNTAX\r\n")
+)
+
+func busy(after time.Duration) []byte { return line.AppendBusy(nil, after) }
+
+// Ready is called by the loop.
+func (s *session) Ready(r poll.Ready) {
+	if r.Write && len(s.link.out) > 0 {
+		if err := s.link.flush(); err != nil {
+			s.broke()
+			return
+		}
+		if s.state == standing && !s.link.behind() {
+			s.hop.listen(true)
+		}
+	}
+	if s.state != closed && (r.Read && !s.link.ended || r.Hangup) {
+		s.read()
+	}
+}
+
+func (s *session) read() {
+	lines, err := s.link.fill(s.front.scratch)
+	switch {
+	case s.state == closing && (err == nil || errors.Is(err, line.ErrTooLong)):
+		s.link.rest = s.link.rest[:0] // it has its last line; what it still sends is of no use
+	case err == nil:
+		s.take(lines)
+	case errors.Is(err, io.EOF):
+		s.ended()
+	case errors.Is(err, line.ErrTooLong):
+		s.malformed("line over 4096 bytes")
+	default:
+		s.broke()
+	}
+}
+
+// take deals with whole lines from the client.
+func (s *session) take(lines []byte) {
+	switch s.state {
+	case opening:
+		for len(lines) > 0 && s.state == opening {
+			var first []byte
+			first, lines = line.Next(lines)
+			s.first(line.Text(first))
+		}
+		if s.state == waiting && len(lines) > 0 { // it does not wait, as it should; its lines do
+			s.early(lines)
+		}
+	case waiting:
+		s.early(lines)
+	case standing:
+		s.pass(lines)
+	}
+}
+
+// early keeps lines that came before the answer, up to what one line may hold.
+func (s *session) early(lines []byte) {
+	if len(lines)+len(s.link.rest) > line.Max {
+		s.malformed("lines before its answer")
+		return
+	}
+	s.link.rest = append(append([]byte(nil), lines...), s.link.rest...)
+}
+
+// first takes the line that opens the connection.
+func (s *session) first(text []byte) {
+	f := s.front
+	switch string(text) {
+	case "PING":
+		f.count.Pings++
+		s.say(pongLine)
+		return
+	case "STATS": // a proxy is no target of probes
+		s.say(noLine)
+		return
+	}
+	open, err := line.ParseOpen(text)
+	if err != nil {
+		s.malformed("its first line is none of the protocol")
+		return
+	}
+	s.open, s.state = open, waiting
+	f.loop.Disarm(&s.timer)
+	// The client's time runs since it sent the line, which may have waited for this turn of the loop.
+	offer := Offer{
+		Class: open.Class, Key: open.Key, Group: open.Group, Again: open.Again,
+		Wait: max(open.Wait-s.link.sock.Idle(), 0),
+	}
+	if open.At != "" {
+		s.x = f.engine.Adopt(s, offer, open.At)
+	} else {
+		s.x = f.engine.Take(s, offer)
+	}
+}
+
+// say writes a line while the connection opens.
+func (s *session) say(text []byte) {
+	if s.link.write(text) != nil {
+		s.broke()
+	}
+}
+
+// pass hands lines on to the egress target.
+func (s *session) pass(lines []byte) {
+	if len(lines) > 0 {
+		s.hop.forward(lines)
+	}
+}
+
+// malformed answers what is not of the protocol and closes the connection.
+func (s *session) malformed(what string) {
+	s.front.count.Malformed++
+	s.front.log.Printf("client: %s; closed", what)
+	switch s.state {
+	case opening:
+		s.last(syntaxLine)
+	case waiting:
+		s.x.Left()
+		s.last(syntaxLine)
+	case standing:
+		s.abandon(balance.Cancelled)
+	default:
+		s.close()
+	}
+}
+
+// ended deals with a client that ended its sending.
+func (s *session) ended() {
+	switch s.state {
+	case closing:
+		if len(s.link.out) == 0 {
+			s.close()
+		}
+	case opening:
+		s.close()
+	case waiting:
+		s.x.Left()
+		s.closeUnlessHop()
+	case standing:
+		s.gone = true
+		s.hop.link.finish()
+		s.front.loop.After(&s.timer, lingerWait)
+	}
+}
+
+// broke deals with a connection to the client that broke.
+func (s *session) broke() {
+	switch s.state {
+	case waiting:
+		s.x.Left()
+		s.closeUnlessHop()
+	case standing:
+		o := s.hop.ending(balance.Cancelled)
+		if !s.gone { // else its side has ended already, and not by a reset
+			s.hop.link.reset()
+		}
+		s.endHop()
+		s.x.Ended(o, noReport)
+		s.close()
+	default:
+		s.close()
+	}
+}
+
+// closeUnlessHop closes the connection of a client that left. Its hop, if one is out, ends by the module's word.
+func (s *session) closeUnlessHop() {
+	hop := s.hop
+	s.hop = nil
+	s.close()
+	s.hop = hop
+}
+
+// due is called by the timer.
+func (s *session) due() {
+	switch s.state {
+	case opening:
+		s.last(busy(0)) // a line that is on its way has its answer
+	case standing:
+		s.abandon(balance.Cancelled)
+	default:
+		s.close()
+	}
+}
+
+// last sends the client its last line and closes the connection once that is out.
+func (s *session) last(text []byte) {
+	if s.state == closed {
+		return
+	}
+	s.state = closing
+	if s.link.write(text) != nil {
+		s.close()
+		return
+	}
+	s.link.deaf = false
+	s.link.finish()
+	if s.link.ended {
+		s.front.loop.After(&s.timer, lingerWait/4)
+		return
+	}
+	s.front.loop.After(&s.timer, lingerWait)
+}
+
+// abandon ends a standing connection politely on both sides.
+func (s *session) abandon(o balance.Outcome) {
+	s.endHop()
+	s.x.Ended(o, noReport)
+	s.last(moveLine)
+}
+
+func (s *session) endHop() {
+	if s.hop != nil {
+		s.hop.link.close()
+		s.hop.end()
+		s.hop = nil
+	}
+}
+
+// close gives back all that the session owns.
+func (s *session) close() {
+	if s.state == closed {
+		return
+	}
+	s.state = closed
+	s.front.loop.Disarm(&s.timer)
+	s.endHop()
+	s.link.close()
+	delete(s.front.sessions, s)
+}
+
+// Hop, Recall, Drop, Shed, Fail and Move are the engine's wishes (see Client).
+
+// Hop starts a hop.
+func (s *session) Hop(to *routes.Target, wait time.Duration) { s.startHop(to, wait) }
+
+// Recall gives up a hop of which nothing is written yet.
+func (s *session) Recall() bool {
+	if s.hop == nil || s.hop.state != hopDialing {
+		return false
+	}
+	s.endHop()
+	return true
+}
+
+// Drop gives the hop up.
+func (s *session) Drop() { s.endHop() }
+
+// Shed refuses the client.
+func (s *session) Shed(after time.Duration) {
+	s.endHop()
+	s.last(busy(after))
+}
+
+// Fail tells the client that its request failed.
+func (s *session) Fail() {
+	s.endHop()
+	s.last(failLine)
+}
+
+// Move sends the client away between two lines. What its target sent so far is written or kept for it.
+func (s *session) Move() {
+	s.endHop()
+	s.last(moveLine)
+}
--- /dev/null
+++ b/internal/proxy/standing.go
@@ -0,0 +1,143 @@
+package proxy
+
+import (
+	"time"
+
+	"ospreyspan/balance"
+	"ospreyspan/internal/line"
+)
+
+const (
+	// silentAfter is how long a line of the client may stay without any sign of the target. The rules leave 7 s;
+	// a machine that vanished gives no other sign.
+	silentAfter = 4 * time.Second
+	// noteEvery is how often the module is told of slow messages, on one connection of each target.
+	noteEvery = time.Second
+	// noteFrom is the part of the shortest aim for a message from which it is told.
+	noteFrom = 3
+)
+
+// forward passes lines of the client on to the target.
+func (h *hop) forward(lines []byte) {
+	s := h.s
+	if err := h.link.write(lines); err != nil {
+		h.broke()
+		return
+	}
+	s.front.count.Lines++
+	if h.asked.IsZero() {
+		h.asked = s.front.loop.Now()
+		if !h.timer.Armed() {
+			s.front.loop.After(&h.timer, noteEvery)
+		}
+	}
+	if h.link.behind() {
+		s.listen(false)
+	}
+}
+
+// pass hands lines of the target on to the client, unchanged, and looks at those that tell something.
+func (h *hop) pass(lines []byte) {
+	s := h.s
+	if len(lines) == 0 {
+		return
+	}
+	h.heard = s.front.loop.Now()
+	for rest := lines; len(rest) > 0; {
+		var first []byte
+		first, rest = line.Next(rest)
+		switch word, value := line.ParseWord(line.Text(first)); word {
+		case line.Load:
+			if level, ok := line.Figure(value); ok && s.front.set.TellsLoad {
+				s.x.Load(level)
+			}
+		case line.Bye:
+			h.bye, h.said = balance.OK, true
+		case line.Move:
+			h.bye, h.said = balance.Cancelled, true
+		default:
+			h.answered()
+		}
+	}
+	s.front.count.Lines++
+	if err := s.link.write(lines); err != nil {
+		s.broke()
+		return
+	}
+	if s.link.behind() {
+		h.listen(false)
+	}
+}
+
+// answered measures how long the target took for the client's line.
+func (h *hop) answered() {
+	if h.asked.IsZero() {
+		return
+	}
+	took := h.s.front.loop.Now().Sub(h.asked)
+	h.asked = time.Time{}
+	h.tell(took)
+}
+
+// tell tells the module how long messages take at the target: at most once a second while that is over a part
+// of the shortest aim, and once more when it is back under.
+func (h *hop) tell(took time.Duration) {
+	f, p := h.s.front, h.peer
+	if !f.set.TellsDelay || f.set.MessageAim <= 0 {
+		return
+	}
+	now, slow := f.loop.Now(), took > f.set.MessageAim/noteFrom
+	if slow && now.Sub(p.told) < noteEvery || !slow && !p.slow {
+		return
+	}
+	p.slow, p.told = slow, now
+	h.s.x.Delay(took)
+}
+
+// quiet looks after a line of the client that has no answer yet.
+func (h *hop) quiet() {
+	if h.asked.IsZero() {
+		return
+	}
+	f := h.s.front
+	now := f.loop.Now()
+	took := now.Sub(h.asked)
+	if took >= silentAfter && h.heard.Before(h.asked) {
+		f.count.Silent++
+		h.s.abandon(balance.Broken)
+		return
+	}
+	h.tell(took)
+	f.loop.After(&h.timer, noteEvery)
+}
+
+// finished deals with a target that ended the connection; the client's side ends the same way.
+func (h *hop) finished() {
+	s, o := h.s, h.ending(balance.Broken)
+	s.endHop()
+	s.x.Ended(o, noReport)
+	s.last(nil)
+}
+
+// ending is how the connection ended: by the target's word if it gave one.
+func (h *hop) ending(otherwise balance.Outcome) balance.Outcome {
+	switch {
+	case h.said:
+		return h.bye
+	case h.s.gone:
+		return balance.Cancelled
+	}
+	return otherwise
+}
+
+// listen reads the target, or stops while the client is behind.
+func (h *hop) listen(on bool) {
+	h.link.deaf = !on
+	h.link.want()
+}
+
+// listen reads the client, or stops while the target is behind.
+func (s *session) listen(on bool) {
+	s.link.deaf = !on
+	s.link.want()
+}
--- /dev/null
+++ b/internal/routes/watch.go
@@ -0,0 +1,207 @@
+package routes
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"ospreyspan/internal/poll"
+)
+
+const (
+	// A machine that vanished gives no sign, and news that it should have told counts as told 2 s after the
+	// call's wait: the wait is short and the call is given up soon enough for another one to be answered.
+	watchWait   = 4 * time.Second
+	answerGrace = 1200 * time.Millisecond
+	dialWait    = 500 * time.Millisecond
+	// All proxies lose discovery together, which takes a few calls a second: their retries are drawn apart.
+	retryFrom = 250 * time.Millisecond
+	retryMost = 4 * time.Second
+)
+
+// Watch keeps a watch on discovery: the next call follows each answer at once, on the same connection where
+// that stays open. It owns its connection, its timer and its buffers.
+type Watch struct {
+	loop  *poll.Loop
+	addr  netip.AddrPort
+	rng   *rand.Rand
+	seq   int64
+	news  func(*List, error)
+	sock  *poll.Socket
+	timer poll.Timer
+	out   []byte
+	in    []byte
+	state watchState
+	again bool // the connection has answered a call before
+	tries int  // calls that failed in a row
+	Calls int
+}
+
+type watchState uint8
+
+const (
+	watchOff watchState = iota
+	watchDialing
+	watchAsking
+	watchResting // after a failure, until the next try
+)
+
+var errSilent = errors.New("no answer in time")
+
+// NewWatch returns a Watch that goes on from version seq. news gets each list, or why a call failed.
+func NewWatch(loop *poll.Loop, addr netip.AddrPort, seq int64, rng *rand.Rand, news func(*List, error)) *Watch {
+	w := &Watch{loop: loop, addr: addr, seq: seq, rng: rng, news: news}
+	w.timer.Fire = w.due
+	return w
+}
+
+// Start makes a call unless one is out or about to be made.
+func (w *Watch) Start() {
+	if w.state == watchOff {
+		w.call()
+	}
+}
+
+// Stop ends the watch.
+func (w *Watch) Stop() {
+	w.hangUp()
+	w.loop.Disarm(&w.timer)
+	w.state = watchOff
+}
+
+func (w *Watch) hangUp() {
+	if w.sock != nil {
+		w.sock.Close()
+		w.sock = nil
+	}
+	w.in, w.out, w.again = w.in[:0], w.out[:0], false
+}
+
+func (w *Watch) call() {
+	w.Calls++
+	if w.sock == nil {
+		sock, err := w.loop.Dial(w.addr, w)
+		if err != nil {
+			w.fail(err)
+			return
+		}
+		w.sock, w.state = sock, watchDialing
+		w.loop.After(&w.timer, dialWait)
+		return
+	}
+	w.ask()
+}
+
+func (w *Watch) ask() {
+	w.state = watchAsking
+	w.in = w.in[:0]
+	w.out = appendCall(w.out[:0], w.addr.String(), w.seq, watchWait.Milliseconds())
+	w.loop.After(&w.timer, watchWait+answerGrace)
+	w.write()
+}
+
+func (w *Watch) write() {
+	n, err := w.sock.Write(w.out)
+	if err != nil {
+		w.broke(err)
+		return
+	}
+	w.out = w.out[n:]
+	w.sock.Want(true, len(w.out) > 0)
+}
+
+// Ready is called by the loop.
+func (w *Watch) Ready(r poll.Ready) {
+	if w.state == watchDialing {
+		if err := w.sock.Established(); err != nil {
+			w.fail(err)
+			return
+		}
+		w.ask()
+		return
+	}
+	if r.Write && len(w.out) > 0 {
+		if w.write(); w.state != watchAsking {
+			return
+		}
+	}
+	if r.Read {
+		w.read()
+	}
+}
+
+func (w *Watch) read() {
+	const step = 16 << 10
+	if cap(w.in)-len(w.in) < step {
+		w.in = append(make([]byte, 0, 2*cap(w.in)+step), w.in...)
+	}
+	n, err := w.sock.Read(w.in[len(w.in):cap(w.in)])
+	if errors.Is(err, poll.ErrAgain) {
+		return
+	}
+	w.in = w.in[:len(w.in)+n]
+	if err != nil && !errors.Is(err, io.EOF) {
+		w.broke(err)
+		return
+	}
+	r, parseErr := parseResponse(w.in, err != nil)
+	switch {
+	case errors.Is(parseErr, errMore) && err != nil:
+		w.broke(errors.New("connection ended before the answer"))
+	case errors.Is(parseErr, errMore):
+	case parseErr != nil:
+		w.fail(parseErr)
+	case r.status != 200:
+		w.fail(fmt.Errorf("status %d", r.status))
+	default:
+		w.answer(r, err == nil)
+	}
+}
+
+func (w *Watch) answer(r *response, open bool) {
+	list, err := Decode(r.body)
+	if err != nil {
+		w.fail(err)
+		return
+	}
+	w.seq, w.tries = list.Seq, 0
+	if r.keep && open {
+		w.again = true
+	} else {
+		w.hangUp()
+	}
+	// The watch goes on only if the next call follows within 200 ms: it is made before the news is used.
+	w.call()
+	w.news(list, nil)
+}
+
+// broke deals with a connection that ended. One that was kept from an earlier call may have been closed as
+// idle just then, which is no failure of the call: it is made again at once, on a new connection.
+func (w *Watch) broke(err error) {
+	if w.again && len(w.in) == 0 {
+		w.hangUp()
+		w.call()
+		return
+	}
+	w.fail(err)
+}
+
+func (w *Watch) fail(err error) {
+	w.hangUp()
+	w.state = watchResting
+	rest := min(retryFrom<<min(w.tries, 8), retryMost)
+	w.tries++
+	w.loop.After(&w.timer, time.Duration(float64(rest)*(0.5+w.rng.Float64())))
+	w.news(nil, err)
+}
+
+func (w *Watch) due() {
+	if w.state == watchResting {
+		w.call()
+		return
+	}
+	w.fail(errSilent)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,192 @@
+// Package settings reads the settings object that an instance is given at its start. The simulator sends it in
+// its first message and a real proxy finds it in its configuration: both programs decode it here.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"ospreyspan/balance"
+)
+
+// object is the part of the start-up object that is understood; the rest is skipped.
+type object struct {
+	Balancers int
+	Zone      string
+	Classes   []struct {
+		Name, Repeat, DedupScope string
+		TargetUs, WindowUs       float64
+		HardLimitUs              float64
+		Worth                    float64
+	}
+	Orgs []struct {
+		Name string
+	}
+	Discovery string
+	Domain    struct {
+		Groups                 bool
+		ReportX0               string
+		ParkUs                 float64
+		TenantQuotaConnections []float64
+		MessageAimUs           []float64
+		TellsDelay, TellsLoad  bool
+	}
+	Invariants struct {
+		AnswerSlackUs, AskWithinUs, WarmWithinUs, FallUs float64
+		ColdFrom, TipMultiple                            float64
+	}
+	Permissions struct {
+		AttemptsCap                 int
+		MaxRetryAfterUs             float64
+		DialTimeoutUs, ConnIdleUs   float64
+		Cancel, Probing, RetryAfter bool
+	}
+	Prices struct{ CrossZone float64 }
+	Report struct{ Fields []string }
+}
+
+// Settings is what the programs need of the object.
+type Settings struct {
+	Config  balance.Config
+	Classes map[string]int // indices in Config.Classes by name
+	Tenants map[string]int // likewise in Config.Tenants
+	Fields  []string       // names of a load report's values, in the order of the simulator's wire
+	// What only a proxy on sockets needs.
+	Waits       []time.Duration // by class: how long its clients wait at the most
+	DialTimeout time.Duration   // a connection that is not up by then counts as failed
+	ConnIdle    time.Duration   // idle connections are closed after this; 0: never
+	MessageAim  time.Duration   // shortest of the classes' aims for a message; 0: not told
+	TellsDelay  bool            // the module is told of messages that take long
+	TellsLoad   bool            // and of a connection's load
+	x0IsLoad    bool            // the report's x0 is load over capacity
+}
+
+// Clear makes every value of a report absent.
+func Clear(rep *balance.Report) {
+	nan := math.NaN()
+	*rep = balance.Report{Load: nan, CPU: nan, Active: nan, Waiting: nan, Latency: nan, Rate: nan, Errors: nan}
+}
+
+// Put sets one value of a report by its name; a name that is unknown is passed over.
+func (s *Settings) Put(rep *balance.Report, name string, v float64) {
+	switch name {
+	case "x0":
+		if s.x0IsLoad {
+			rep.Load = v
+		}
+	case "cpu", "util":
+		rep.CPU = v
+	case "active", "inflight":
+		rep.Active = v
+	case "waiting", "queue":
+		rep.Waiting = v
+	case "avg_ms", "latency_ms":
+		rep.Latency = v
+	case "rps", "qps":
+		rep.Rate = v
+	case "err_rps", "eps":
+		rep.Errors = v
+	}
+}
+
+var repeats = map[string]balance.Repeat{
+	"free": balance.RepeatFree, "guarded": balance.RepeatKeyed, "single_shot": balance.RepeatNever,
+}
+
+var scopes = map[string]balance.Scope{
+	"all": balance.ScopeAll, "zone": balance.ScopeZone, "cell": balance.ScopeCell,
+}
+
+// Decode reads the object. A class whose repeat word is unknown is taken for the
+// strictest kind, an unknown scope for the narrowest.
+func Decode(text []byte) (*Settings, error) {
+	var s object
+	if err := json.Unmarshal(text, &s); err != nil {
+		return nil, fmt.Errorf("options: %w", err)
+	}
+	cfg := balance.Config{
+		Balancers: s.Balancers,
+		Zone:      s.Zone,
+		Rules: balance.Rules{
+			AnswerSlack:  int64(s.Invariants.AnswerSlackUs),
+			AskWithin:    int64(s.Invariants.AskWithinUs),
+			ColdFrom:     s.Invariants.ColdFrom,
+			WarmWithin:   int64(s.Invariants.WarmWithinUs),
+			FallMultiple: s.Invariants.TipMultiple,
+			FallWithin:   int64(s.Invariants.FallUs),
+		},
+		Prices:      balance.Prices{CrossZone: s.Prices.CrossZone},
+		MaxAttempts: s.Permissions.AttemptsCap,
+		MayProbe:    s.Permissions.Probing,
+		MayCancel:   s.Permissions.Cancel,
+		Subscribe:   s.Discovery == "subscribe",
+		Groups:      s.Domain.Groups,
+		Park:        int64(s.Domain.ParkUs),
+	}
+	if s.Permissions.RetryAfter {
+		cfg.MaxAdvice = int64(s.Permissions.MaxRetryAfterUs)
+	}
+	r := &Settings{
+		Classes: make(map[string]int), Tenants: make(map[string]int), Fields: s.Report.Fields,
+		DialTimeout: span(s.Permissions.DialTimeoutUs), ConnIdle: span(s.Permissions.ConnIdleUs),
+		TellsDelay: s.Domain.TellsDelay, TellsLoad: s.Domain.TellsLoad,
+		x0IsLoad: strings.HasPrefix(s.Domain.ReportX0, "load"),
+	}
+	for i, c := range s.Classes {
+		repeat, ok := repeats[c.Repeat]
+		if !ok {
+			repeat = balance.RepeatNever
+		}
+		scope, ok := scopes[c.DedupScope]
+		if !ok {
+			scope = balance.ScopeCell
+		}
+		class := balance.Class{
+			Aim: int64(c.TargetUs), Worth: c.Worth,
+			Repeat: repeat, Scope: scope, Window: int64(c.WindowUs),
+		}
+		r.Waits = append(r.Waits, span(c.HardLimitUs))
+		if i < len(s.Domain.MessageAimUs) {
+			if aim := span(s.Domain.MessageAimUs[i]); aim > 0 && (r.MessageAim == 0 || aim < r.MessageAim) {
+				r.MessageAim = aim
+			}
+			class.MessageAim = int64(s.Domain.MessageAimUs[i])
+		}
+		cfg.Classes = append(cfg.Classes, class)
+		r.Classes[c.Name] = i
+	}
+	for i, t := range s.Orgs {
+		var tenant balance.Tenant
+		if i < len(s.Domain.TenantQuotaConnections) {
+			tenant.Connections = s.Domain.TenantQuotaConnections[i]
+		}
+		cfg.Tenants = append(cfg.Tenants, tenant)
+		r.Tenants[t.Name] = i
+	}
+	r.Config = cfg
+	return r, nil
+}
+
+// span converts the object's microseconds.
+func span(us float64) time.Duration { return time.Duration(us * float64(time.Microsecond)) }
+
+// Check tells what a proxy on sockets lacks in the settings, by the field's name. The simulator may leave out
+// any field; a proxy that started without these could serve nobody.
+func (s *Settings) Check() error {
+	switch {
+	case len(s.Classes) == 0:
+		return errors.New("Classes: none is given")
+	case s.DialTimeout <= 0:
+		return errors.New("Permissions.DialTimeoutUs: not above 0")
+	}
+	for name, i := range s.Classes {
+		if s.Waits[i] <= 0 {
+			return fmt.Errorf("Classes: HardLimitUs of %q: not above 0", name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,35 @@
+// Package stats counts what a proxy takes in, sends and answers.
+package stats
+
+import (
+	"fmt"
+	"io"
+)
+
+// Counters are a proxy's counts since its start. They belong to the loop's goroutine.
+type Counters struct {
+	// Taken in.
+	Connections, Exchanges, Standing, Pings, Malformed int
+	// Sent.
+	Hops, Probes, Watches, Moves, Lines int
+	// Answered to clients.
+	Up, Shed, Failed, Left int
+	// How hops ended.
+	HopOK, HopError, HopFull, HopTimeout, HopNoConnect, HopBroken, HopCancelled int
+	// Other.
+	ProbesFailed, WatchesFailed, Silent, Overdue, Full int
+}
+
+// Print writes the counts on a few lines.
+func (c *Counters) Print(w io.Writer) {
+	fmt.Fprintf(w, "in: connections=%d exchanges=%d standing=%d pings=%d malformed=%d\n",
+		c.Connections, c.Exchanges, c.Standing, c.Pings, c.Malformed)
+	fmt.Fprintf(w, "sent: hops=%d probes=%d watches=%d moves=%d lines=%d\n",
+		c.Hops, c.Probes, c.Watches, c.Moves, c.Lines)
+	fmt.Fprintf(w, "answered: up=%d shed=%d failed=%d left=%d overdue=%d\n",
+		c.Up, c.Shed, c.Failed, c.Left, c.Overdue)
+	fmt.Fprintf(w, "hops ended: ok=%d error=%d full=%d timeout=%d no-connect=%d broken=%d cancelled=%d\n",
+		c.HopOK, c.HopError, c.HopFull, c.HopTimeout, c.HopNoConnect, c.HopBroken, c.HopCancelled)
+	fmt.Fprintf(w, "troubles: probes-failed=%d watches-failed=%d silent=%d out-of-descriptors=%d\n",
+		c.ProbesFailed, c.WatchesFailed, c.Silent, c.Full)
+}
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -10,6 +10,7 @@
 	"io"
 
 	"ospreyspan/balance"
+	"ospreyspan/internal/settings"
 )
 
 // Kind is the kind of an Event.
@@ -91,7 +92,7 @@
 	now     balance.Time
 	sheets  [catalogues][]balance.Backend
 	filled  [catalogues]bool
-	relays  map[int]relay
+	relays  map[int]*settings.Settings
 	names   map[string]string // backend ids seen, so that each is kept once
 	parts   [][]byte
 	err     error // first bad value of the line in hand
@@ -101,7 +102,7 @@
 func NewReader(in io.Reader) *Reader {
 	return &Reader{
 		in:     bufio.NewReaderSize(in, 1<<16),
-		relays: make(map[int]relay),
+		relays: make(map[int]*settings.Settings),
 		names:  make(map[string]string),
 	}
 }
@@ -200,13 +201,13 @@
 func (r *Reader) fill(e *Event) {
 	if e.Kind == Configure {
 		e.Seed = r.whole(1)
-		cfg, rel, err := parseSettings(r.parts[2])
+		set, err := settings.Decode(r.parts[2])
 		if err != nil {
 			r.fail(err)
 			return
 		}
-		e.Config = cfg
-		r.relays[e.Relay] = rel
+		e.Config = set.Config
+		r.relays[e.Relay] = set
 		return
 	}
 	rel, ok := r.relays[e.Relay]
@@ -252,13 +253,13 @@
 		e.Backend = r.backend(3)
 		e.Outcome = word(r, outcomes, 4)
 		e.Attempt = int(r.integer(5))
-		e.Report = r.report(7, rel.fields)
+		e.Report = r.report(7, rel)
 	case ClientGone:
 		e.Request.ID = r.whole(1)
 	case Checked:
 		e.Backend = r.backend(1)
 		e.Outcome = word(r, outcomes, 2)
-		e.Report = r.report(4, rel.fields)
+		e.Report = r.report(4, rel)
 	}
 }
 
@@ -268,14 +269,14 @@
 	bitAgain   = 16
 )
 
-func (r *Reader) request(e *Event, rel relay) {
+func (r *Reader) request(e *Event, rel *settings.Settings) {
 	q := &e.Request
 	q.ID = r.whole(1)
 	q.Class, q.Tenant = -1, -1
-	if i, ok := rel.classes[string(r.parts[2])]; ok {
+	if i, ok := rel.Classes[string(r.parts[2])]; ok {
 		q.Class = i
 	}
-	if i, ok := rel.tenants[string(r.parts[3])]; ok {
+	if i, ok := rel.Tenants[string(r.parts[3])]; ok {
 		q.Tenant = i
 	}
 	if !absent(r.parts[4]) {
--- a/internal/wire/values.go
+++ b/internal/wire/values.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"ospreyspan/balance"
+	"ospreyspan/internal/settings"
 )
 
 // split cuts rest at its spaces into r.parts, into at most limit parts if that is not below 0.
@@ -116,35 +117,17 @@
 }
 
 // report reads a load report; what it lacks is NaN.
-func (r *Reader) report(i int, fields []field) balance.Report {
-	nan := math.NaN()
-	rep := balance.Report{
-		Load: nan, CPU: nan, Active: nan, Waiting: nan, Latency: nan, Rate: nan, Errors: nan,
-	}
+func (r *Reader) report(i int, set *settings.Settings) balance.Report {
+	var rep balance.Report
+	settings.Clear(&rep)
 	rest := r.parts[i]
 	if absent(rest) {
 		return rep
 	}
-	for _, f := range fields {
+	for _, name := range set.Fields {
 		value, more, _ := bytes.Cut(rest, []byte(","))
 		rest = more
-		v := r.number(value)
-		switch f {
-		case fieldLoad:
-			rep.Load = v
-		case fieldCPU:
-			rep.CPU = v
-		case fieldActive:
-			rep.Active = v
-		case fieldWaiting:
-			rep.Waiting = v
-		case fieldLatency:
-			rep.Latency = v
-		case fieldRate:
-			rep.Rate = v
-		case fieldErrors:
-			rep.Errors = v
-		}
+		set.Put(&rep, name, r.number(value))
 	}
 	return rep
 }
