Answer clients 150 ms before their time is up: stalls of 100 ms lost requests

At fault: answerMargin = 20 ms in internal/proxy/engine.go; the module holds requests until just before the time that it is given. Ruled out: answers lost by the engine (overdue=0, left=0, every exchange up or shed).

--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	// answerMargin is taken off what the client waits, so that the module's last word reaches it in time.
-	answerMargin = 20 * time.Millisecond
-	// overdueMargin is what is left of the client's time when the engine answers in the module's place.
-	overdueMargin = 5 * time.Millisecond
+	// answerMargin is taken off what the client waits, so that the module's last word reaches it in time: a
+	// machine that shares its cores may keep the process from running for 100 ms and more, and a request that
+	// the module holds until its end would then have no answer. Of a short wait only answerPart is taken.
+	answerMargin = 150 * time.Millisecond
+	answerPart   = 8
 	// adoptRest lies between two tries to take up a connection that was open before the start.
 	adoptRest = 100 * time.Millisecond
 )
@@ -68,7 +69,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	e.module = module
-	e.watch = routes.NewWatch(c.Loop, c.Discovery, c.Known.Seq, rand.New(rand.NewPCG(c.Seed, 1)), e.news)
+	e.watch = routes.NewWatch(c.Loop, c.Discovery, c.Known.Seq, rand.New(rand.NewPCG(c.Seed, 1)), &c.Count.Watches, e.news)
 	module.Start(e.clock())
 	e.table.Merge(c.Known)
 	e.push(event{kind: evList, list: balance.ListStale, entries: backends(c.Known.Hosts)})
@@ -109,17 +110,21 @@
 	x := &Exchange{id: e.last, engine: e, client: c, deadline: e.loop.Now().Add(o.Wait)}
 	x.request = balance.Request{
 		ID: x.id, Class: class, Tenant: -1, Key: o.Key, Again: o.Again,
-		Left: toModule(max(o.Wait-answerMargin, 0)),
+		Left: toModule(o.Wait - margin(o.Wait)),
 	}
 	if e.set.Config.Groups {
 		x.request.Group = o.Group
 	}
 	e.exchanges[x.id] = x
 	x.timer.Fire = func() { e.overdue(x) }
-	e.loop.Arm(&x.timer, x.deadline.Add(-overdueMargin))
+	e.loop.Arm(&x.timer, x.deadline.Add(-margin(o.Wait)/2))
 	return x
 }
 
+// margin is the part of a client's wait that is kept for the answer's way. The module may use what is before
+// it; the engine answers in the module's place when half of it is over.
+func margin(wait time.Duration) time.Duration { return min(answerMargin, wait/answerPart) }
+
 // release forgets an exchange with which nothing more happens: the one place where its entry and its timer are
 // given back.
 func (e *Engine) release(x *Exchange) {
@@ -134,6 +139,7 @@
 		return
 	}
 	e.count.Overdue++
+	e.log.Printf("exchange %d: no answer from the module in time", x.id)
 	x.client.Shed(0)
 	x.Left()
 }
--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -37,7 +37,7 @@
 	state watchState
 	again bool // the connection has answered a call before
 	tries int  // calls that failed in a row
-	Calls int
+	calls *int // counts them
 }
 
 type watchState uint8
@@ -51,9 +51,10 @@
 
 var errSilent = errors.New("no answer in time")
 
-// NewWatch returns a Watch that goes on from version seq. news gets each list, or why a call failed.
-func NewWatch(loop *poll.Loop, addr netip.AddrPort, seq int64, rng *rand.Rand, news func(*List, error)) *Watch {
-	w := &Watch{loop: loop, addr: addr, seq: seq, rng: rng, news: news}
+// NewWatch returns a Watch that goes on from version seq. news gets each list, or why a call
+// failed; calls counts them.
+func NewWatch(loop *poll.Loop, addr netip.AddrPort, seq int64, rng *rand.Rand, calls *int, news func(*List, error)) *Watch {
+	w := &Watch{calls: calls, loop: loop, addr: addr, seq: seq, rng: rng, news: news}
 	w.timer.Fire = w.due
 	return w
 }
@@ -81,7 +82,7 @@
 }
 
 func (w *Watch) call() {
-	w.Calls++
+	*w.calls++
 	if w.sock == nil {
 		sock, err := w.loop.Dial(w.addr, w)
 		if err != nil {
