--- /dev/null
+++ b/internal/line/line_test.go
@@ -0,0 +1,117 @@
+package line
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestParseOpen(t *testing.T) {
+	o, err := ParseOpen([]byte("OPEN 9b1f 7f3a c=chat,d=2000,g=5c0f,again=1,h=12.5"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.ID != "9b1f" || o.Key != "7f3a" || o.Class != "chat" || o.Group != "5c0f" || o.Wait != 2*time.Second || !o.Again {
+		t.Errorf("read as %+v", o)
+	}
+	// Only the figure of d may change on the way, wherever it stands.
+	for _, tt := range [][2]string{
+		{"OPEN a b c=x,d=2000,g=1", "OPEN a b c=x,d=300,g=1\r\n"},
+		{"OPEN a b d=7,c=x,odd=d=9", "OPEN a b d=300,c=x,odd=d=9\r\n"},
+		{"OPEN a b c=x,at=s-1,d=1e3", "OPEN a b c=x,at=s-1,d=300\r\n"},
+	} {
+		o, err := ParseOpen([]byte(tt[0]))
+		if err != nil {
+			t.Fatalf("%q: %v", tt[0], err)
+		}
+		if got := string(o.Append(nil, 300*time.Millisecond+900*time.Microsecond)); got != tt[1] {
+			t.Errorf("%q goes on as %q", tt[0], got)
+		}
+	}
+	for _, bad := range []string{
+		"", "OPEN", "OPEN a b", "OPEN a b c=x", "OPEN a b d=5", "OPEN a b c=x,d=-1", "OPEN a b c=x,d=NaN",
+		"OPEN a b c=x,d=1,d=2", "OPEN a  c=x,d=1", "OPEN a b c=x,d=1,", "OPEN a b c=x d=1", "GET / HTTP/1.1",
+	} {
+		if _, err := ParseOpen([]byte(bad)); !errors.Is(err, ErrSyntax) {
+			t.Errorf("%q: error %v", bad, err)
+		}
+	}
+}
+
+// A figure that is absent or odd must not pass for zero.
+func TestFigures(t *testing.T) {
+	got := map[string]float64{}
+	Figures([]byte("cpu=0.5,x0=,rps=-,odd,y=NaN,z=+Inf,w=3"), func(n string, v float64) { got[n] = v })
+	if len(got) != 2 || got["cpu"] != 0.5 || got["w"] != 3 {
+		t.Errorf("read %v", got)
+	}
+}
+
+func TestBusy(t *testing.T) {
+	for after, want := range map[time.Duration]string{
+		0: "BUSY\r\n", time.Microsecond: "BUSY\r\n", 1500 * time.Millisecond: "BUSY 1500\r\n",
+	} {
+		if got := string(AppendBusy(nil, after)); got != want {
+			t.Errorf("%v: %q", after, got)
+		}
+	}
+}
+
+// However a stream is cut into reads, the same lines come out, and a line over the limit is found.
+func FuzzWhole(f *testing.F) {
+	f.Add([]byte("OPEN a b c=x,d=1\r\nPING\r\nhalf"), uint8(3))
+	f.Add([]byte("\n\r\n\n"), uint8(1))
+	f.Add(bytes.Repeat([]byte("x"), Max+1), uint8(200))
+	f.Add([]byte(strings.Repeat("y", Max-2)+"\r\nz\r\n"), uint8(255))
+	f.Fuzz(func(t *testing.T, stream []byte, cut uint8) {
+		step := int(cut) + 1
+		var rest, out []byte
+		failed := false
+		for at := 0; at < len(stream) && !failed; at += step {
+			data := append(append([]byte(nil), rest...), stream[at:min(at+step, len(stream))]...)
+			whole, more, err := Whole(data)
+			if failed = err != nil; failed {
+				break
+			}
+			for len(whole) > 0 {
+				var first []byte
+				if first, whole = Next(whole); bytes.Count(first, []byte("\n")) != 1 || len(first) > Max {
+					t.Fatalf("a line of %d bytes: %q", len(first), first)
+				}
+				out = append(out, first...)
+			}
+			rest = append([]byte(nil), more...)
+		}
+		tooLong := false
+		for _, l := range bytes.SplitAfter(stream, []byte("\n")) {
+			tooLong = tooLong || len(l) > Max || len(l) == Max && !bytes.HasSuffix(l, []byte("\n"))
+		}
+		if failed != tooLong {
+			t.Fatalf("too long: %v, told %v", tooLong, failed)
+		}
+		if !failed && string(append(out, rest...)) != string(stream) {
+			t.Fatalf("bytes were lost or changed")
+		}
+	})
+}
+
+func FuzzParseOpen(f *testing.F) {
+	f.Add([]byte("OPEN 9b1f 7f3a c=chat,d=2000,g=5c0f"))
+	f.Add([]byte("OPEN a b d=1,c=x,at=s-1"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		o, err := ParseOpen(text)
+		if err != nil {
+			return
+		}
+		again, err := ParseOpen(Text(o.Append(nil, 250*time.Millisecond)))
+		if err != nil || again.Wait != 250*time.Millisecond {
+			t.Fatalf("%q goes on as %+v, %v", text, again, err)
+		}
+		again.Wait, o.Wait = 0, 0
+		if again != o {
+			t.Fatalf("%q: %+v became %+v", text, o, again)
+		}
+	})
+}
--- a/internal/poll/listener.go
+++ b/internal/poll/listener.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// Addr is the address at which it listens.
+func (n *Listener) Addr() netip.AddrPort {
+	switch a, _ := unix.Getsockname(n.sock.fd); a := a.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port))
+	}
+	return netip.AddrPort{}
+}
+
 // Close stops listening.
 func (n *Listener) Close() {
 	if n.reserve >= 0 {
--- /dev/null
+++ b/internal/proxy/faults_test.go
@@ -0,0 +1,455 @@
+package proxy
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreyspan/balance"
+	"ospreyspan/internal/poll"
+	"ospreyspan/internal/routes"
+)
+
+// The module holds a request until its time ends. A process that did not run for 100 ms just then left two
+// clients without an answer when the margin was 20 ms.
+func TestAnswerLeavesInTime(t *testing.T) {
+	b := newBed(t, 0, false)
+	x := b.engine.add(nil, Offer{Class: "c", Wait: 2 * time.Second})
+	if left := fromModule(x.request.Left); left > 1850*time.Millisecond || left < 1500*time.Millisecond {
+		t.Errorf("of 2 s the module may use %v", left)
+	}
+	x = b.engine.add(nil, Offer{Class: "c", Wait: 80 * time.Millisecond})
+	if left := fromModule(x.request.Left); left < 60*time.Millisecond {
+		t.Errorf("of 80 ms the module may use %v", left)
+	}
+}
+
+// A client whose request nobody takes gets one refusal, and that before its time is up.
+func TestOneAnswerInTime(t *testing.T) {
+	b := newBed(t, 0, false)
+	c := b.client()
+	begin := time.Now()
+	c.say(t, "OPEN a k c=c,d=400\r\n")
+	b.until("an answer", func() bool { return c.eof })
+	if string(c.got) != "BUSY\r\n" || time.Since(begin) > 400*time.Millisecond {
+		t.Errorf("got %q after %v", c.got, time.Since(begin))
+	}
+	b.over(c)
+}
+
+// The first line goes on unchanged but for d, which is less than what the client waits.
+func TestFirstLine(t *testing.T) {
+	b := newBed(t, 1, false)
+	c := b.client()
+	c.say(t, "PING\r\nOPEN a k c=c,d=2000,g=7,extra=x\r\n")
+	b.until("the hop", func() bool { return b.asked("a") != nil })
+	var ms int
+	if _, err := fmt.Sscanf(string(b.asked("a").got), "OPEN a k c=c,d=%d,g=7,extra=x\r\n", &ms); err != nil || ms < 1 || ms >= 2000 {
+		t.Errorf("the target got %q", b.asked("a").got)
+	}
+	if string(c.got) != "PONG\r\n" {
+		t.Errorf("the client got %q", c.got)
+	}
+	b.over(c)
+}
+
+// A target that reads nothing must not make the proxy take in what the client sends without end, and nothing
+// is lost once it reads again. The same holds the other way.
+func TestBackpressure(t *testing.T) {
+	b := newBed(t, 1, false)
+	client, target := b.stands("a")
+	text := strings.Repeat(strings.Repeat("x", 998)+"\r\n", 64)
+	for _, way := range []struct {
+		from, to *end
+		link     func() *link
+	}{
+		{client, target, func() *link { return &b.session().hop.link }},
+		{target, client, func() *link { return &b.session().link }},
+	} {
+		way.to.deaf = true
+		way.to.sock.Want(false, false)
+		way.to.got = nil
+		sent, full := 0, 0
+		for full < 50 {
+			n, err := way.from.sock.Write([]byte(text[sent%1000 : sent%1000+1000*60]))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if sent += n; n == 0 {
+				full++
+			}
+			b.settle()
+			if kept := len(way.link().out); kept > backlog+len(b.front.scratch) {
+				t.Fatalf("%d bytes are kept", kept)
+			}
+		}
+		way.to.deaf = false
+		way.to.sock.Want(true, false)
+		whole := sent / 1000 * 1000
+		b.until("all lines", func() bool { return len(way.to.got) >= whole })
+		for i := 0; i+1000 <= len(way.to.got); i += 1000 {
+			if string(way.to.got[i:i+1000]) != text[:1000] {
+				t.Fatalf("bytes %d on were changed", i)
+			}
+		}
+		way.from.say(t, text[sent%1000:1000]) // ends the line in hand
+		b.settle()
+		way.to.got = nil
+	}
+	b.over(client)
+}
+
+// session returns the standing session where there is one only.
+func (b *bed) session() *session {
+	for s := range b.front.sessions {
+		if s.state == standing {
+			return s
+		}
+	}
+	b.t.Fatal("no standing session")
+	return nil
+}
+
+// A machine that vanished keeps its connections open and silent: the client is moved in time. A target that is
+// only slow keeps them.
+func TestSilentTarget(t *testing.T) {
+	b := newBed(t, 1, false)
+	client, target := b.stands("a")
+	h := b.session().hop
+	client.say(t, "reading 1\r\n")
+	b.settle()
+	if !h.timer.Armed() || h.asked.IsZero() {
+		t.Fatal("nobody looks after the client's line")
+	}
+	h.asked = h.asked.Add(-silentAfter)
+	target.say(t, "LOAD 5\r\n")
+	b.settle()
+	h.quiet()
+	if b.count.Silent != 0 {
+		t.Error("a target that gives signs passes for silent")
+	}
+	h.heard = h.asked.Add(-time.Second)
+	h.quiet()
+	b.until("MOVE", func() bool { return client.eof && strings.HasSuffix(string(client.got), "LOAD 5\r\nMOVE\r\n") })
+	if silentAfter+2*noteEvery > 7*time.Second {
+		t.Error("silence is seen too late for the rules")
+	}
+	b.over(client)
+}
+
+// Slow messages are told once a second, and once more when they are fast again.
+func TestDelayNotes(t *testing.T) {
+	b := newBed(t, 1, false)
+	client, target := b.stands("a")
+	h := b.session().hop
+	notes := func(took time.Duration) int {
+		client.say(t, "reading\r\n")
+		b.settle()
+		h.asked = b.loop.Now().Add(-took)
+		before := len(b.engine.events)
+		h.answered()
+		n := len(b.engine.events) - before
+		b.settle()
+		return n
+	}
+	got := []int{notes(time.Millisecond), notes(30 * time.Millisecond), notes(40 * time.Millisecond), notes(time.Millisecond), notes(time.Millisecond)}
+	if fmt.Sprint(got) != "[0 1 0 1 0]" {
+		t.Errorf("notes %v", got)
+	}
+	target.say(t, "LOAD 7\r\n")
+	b.settle()
+	b.over(client)
+}
+
+// Nothing new may reach a target that discovery has told to be draining: a hop that is still connecting then
+// is given up, and one that has been sent goes on.
+func TestNewsRecallsHops(t *testing.T) {
+	b := newBed(t, 1, false)
+	c := b.client()
+	c.say(t, "OPEN a k c=c,d=2000\r\n")
+	b.until("the hop", func() bool { return b.count.Hops == 1 })
+	s := func() *session {
+		for s := range b.front.sessions {
+			return s
+		}
+		return nil
+	}()
+	stop := &routes.List{Seq: 2, Hosts: []*routes.Target{{ID: "s0", Addr: s.hop.peer.to.Addr, Health: routes.Draining}}}
+	s.hop.state = hopDialing
+	b.engine.news(stop, nil)
+	if s.hop != nil || b.count.HopNoConnect != 1 {
+		t.Error("a hop that was connecting goes on")
+	}
+	b.settle()
+	if b.count.Hops != 1 {
+		t.Error("a draining target was sent to")
+	}
+	b.over(c)
+}
+
+// What the module sends to a target that stopped meanwhile must not go out, but has an end.
+func TestSendToStoppedTarget(t *testing.T) {
+	b := newBed(t, 1, false)
+	c := b.client()
+	s := &session{front: b.front}
+	x := b.engine.add(s, Offer{Class: "c", Wait: time.Second})
+	b.engine.table.Merge(&routes.List{Hosts: []*routes.Target{{ID: "s0", Health: routes.Deleted}}})
+	b.engine.send(x, &action{target: "s0"})
+	if n := len(b.engine.events); n != 1 || b.engine.events[0].outcome != balance.NoConnect || b.count.Hops != 0 {
+		t.Errorf("%d events, %d hops", n, b.count.Hops)
+	}
+	b.engine.release(x)
+	b.over(c)
+}
+
+// Each attempt of the module has an end also if its client left in the same turn: else the module would count
+// it as out for ever.
+func TestSendForClientThatLeft(t *testing.T) {
+	b := newBed(t, 1, false)
+	x := b.engine.Take(&session{front: b.front}, Offer{Class: "c", Wait: time.Second})
+	x.Left()
+	b.settle()
+	if b.count.HopNoConnect+b.count.Hops != 0 || len(b.engine.exchanges) != 0 {
+		t.Errorf("%+v, %d exchanges", b.count, len(b.engine.exchanges))
+	}
+	if !strings.Contains(fmt.Sprintf("%+v", b.count), "Left:1") {
+		t.Error("its leaving was not counted")
+	}
+}
+
+// A connection from before the start goes to its target, is told to the module once it stands, and is tried
+// again while the target has no room.
+func TestAdopted(t *testing.T) {
+	b := newBed(t, 2, false)
+	c := b.client()
+	c.say(t, "OPEN a k c=c,d=5000,at=s1\r\n")
+	b.until("the hop", func() bool { return b.asked("a") != nil })
+	b.asked("a").say(t, "BUSY\r\n")
+	b.hops[0].got = nil
+	b.until("the next hop", func() bool { return b.asked("a") != nil })
+	b.asked("a").say(t, "UP r\r\n")
+	b.until("UP", func() bool { return string(c.got) == "UP r\r\n" })
+	if b.count.Hops != 2 || b.count.Standing != 1 {
+		t.Errorf("%+v", b.count)
+	}
+	(*host)(b.engine).Move(1) // the module can move it like any other
+	b.until("MOVE", func() bool { return c.eof })
+	b.over(c)
+}
+
+// A line over the limit ends the connection that sent it and no other.
+func TestLongLines(t *testing.T) {
+	b := newBed(t, 1, false)
+	client, _ := b.stands("a")
+	other, far := b.stands("b")
+	long := strings.Repeat("x", 5000)
+	client.say(t, long)
+	b.until("the end", func() bool { return client.eof || client.reset })
+	opening := b.client()
+	opening.say(t, long)
+	b.until("SYNTAX", func() bool { return strings.HasPrefix(string(opening.got), "SYNTAX\r\n") })
+	far.say(t, "still here\r\n")
+	b.until("a line", func() bool { return string(other.got) == "still here\r\n" })
+	if b.count.Malformed != 2 {
+		t.Errorf("%d malformed", b.count.Malformed)
+	}
+	b.over(client, other, opening)
+}
+
+// Without a free descriptor a client still gets an answer.
+func TestOutOfDescriptors(t *testing.T) {
+	b := newBed(t, 1, false)
+	b.front.sockets = 1
+	c := b.client()
+	b.until("BUSY", func() bool { return strings.HasPrefix(string(c.got), "BUSY 1000\r\n") })
+	if b.count.Full != 1 || len(b.front.sessions) != 0 {
+		t.Errorf("%+v, %d sessions", b.count, len(b.front.sessions))
+	}
+	b.front.sockets = 0
+	c2, _ := b.stands("a")
+	b.over(c, c2)
+}
+
+// A probe's connection serves the next probe; a figure that is absent is not zero; one that the target closed
+// while idle is opened anew.
+func TestProbes(t *testing.T) {
+	b := newBed(t, 1, true)
+	to := b.engine.table.Find("s0")
+	var got []event
+	answered := func() bool {
+		for _, ev := range b.engine.events {
+			if ev.kind == evProbed {
+				got = append(got, ev)
+			}
+		}
+		b.engine.events = nil
+		_ = b.loop.Turn(false)
+		return len(got) > 0
+	}
+	b.front.Probe(to)
+	b.until("the first probe", func() bool { return len(b.hops) == 1 && string(b.hops[0].got) == "STATS\r\n" })
+	b.hops[0].say(t, "PONG cpu=0.25,x0=\r\n")
+	for range 50 {
+		answered()
+	}
+	if len(got) != 1 || got[0].report.CPU != 0.25 || got[0].report.Load == got[0].report.Load || got[0].outcome != balance.OK {
+		t.Fatalf("%+v", got)
+	}
+	got = nil
+	b.front.Probe(to)
+	for range 50 {
+		answered()
+	}
+	if len(b.hops) != 1 || string(b.hops[0].got) != "STATS\r\nSTATS\r\n" {
+		t.Fatalf("%d connections; the first got %q", len(b.hops), b.hops[0].got)
+	}
+	b.hops[0].sock.Close() // as if idle for too long, just when the probe went out
+	for len(b.hops) < 2 || string(b.hops[1].got) != "STATS\r\n" {
+		answered()
+	}
+	b.hops[1].say(t, "ERR\r\n")
+	for !answered() {
+	}
+	if got[0].outcome != balance.Error {
+		t.Errorf("%+v", got[0])
+	}
+	got = nil
+	b.front.Probe(to)
+	for begin := time.Now(); !answered(); { // and one that stays silent times out, and its connection goes
+		if time.Since(begin) > time.Second {
+			t.Fatal("no end of a probe")
+		}
+	}
+	if got[0].outcome != balance.TimedOut || b.front.peers["s0"].link.sock != nil {
+		t.Errorf("%+v", got[0])
+	}
+}
+
+// A target that refuses connections costs a hop that never ran; the request goes elsewhere.
+func TestRefusedTarget(t *testing.T) {
+	b := newBed(t, 2, false)
+	b.servers[0].Close()
+	for i := range 6 {
+		c, _ := b.stands(fmt.Sprint("c", i))
+		defer c.sock.Close()
+	}
+	if b.count.Up != 6 || b.count.Hops != 6+b.count.HopNoConnect {
+		t.Errorf("%+v", b.count)
+	}
+}
+
+// On a planned stop every standing client is told MOVE, spread over the time; whoever waits is answered, and
+// late clients too.
+func TestDrain(t *testing.T) {
+	b := newBed(t, 1, false)
+	b.front.set.Waits = []time.Duration{1400 * time.Millisecond} // SIGKILL would come after 2.1 s
+	var clients []*end
+	for i := range 8 {
+		c, _ := b.stands(fmt.Sprint("c", i))
+		clients = append(clients, c)
+	}
+	waits := b.client()
+	waits.say(t, "OPEN w k c=c,d=30000\r\n")
+	b.settle()
+	begin, done := time.Now(), false
+	b.front.Drain(func() { done = true })
+	most, before := 0, 0
+	var late *end
+	for !done {
+		b.settle()
+		moved := 0
+		for _, c := range clients {
+			if string(c.got) == "MOVE\r\n" {
+				moved++
+			}
+		}
+		most, before = max(most, moved-before), moved
+		if late == nil && time.Since(begin) > 300*time.Millisecond {
+			late = b.client()
+			late.say(t, "OPEN l k c=c,d=30000\r\n")
+		}
+		if time.Since(begin) > 2100*time.Millisecond {
+			t.Fatal("not done at SIGKILL")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if before != len(clients) || most > 3 {
+		t.Errorf("%d moved, up to %d at once", before, most)
+	}
+	for _, c := range []*end{waits, late} {
+		if string(c.got) != "BUSY 1000\r\n" {
+			t.Errorf("a client that waited got %q", c.got)
+		}
+	}
+}
+
+// An event that was gathered for a socket must not reach the one that took over its descriptor in that turn.
+func TestStaleEvents(t *testing.T) {
+	b := newBed(t, 1, false)
+	one, _ := b.stands("a")
+	two, _ := b.stands("b")
+	other := b.client()
+	// Both clients break and a third one comes in the same turn; the descriptors are handed on at once.
+	one.sock.Reset()
+	two.sock.Reset()
+	one.reset, two.reset = true, true
+	three := &end{}
+	sock, err := b.loop.Dial(b.front.listener.Addr(), three)
+	if err != nil {
+		t.Fatal(err)
+	}
+	three.sock = sock
+	sock.Want(true, false)
+	other.say(t, "PING\r\n")
+	b.settle()
+	three.say(t, "PING\r\n")
+	b.until("PONG", func() bool { return string(three.got) == "PONG\r\n" && string(other.got) == "PONG\r\n" })
+	b.over(other, three)
+}
+
+// Discovery that is down is asked again with pauses that are drawn and grow, and one that stays silent is given
+// up early enough for the next call to be answered before its news counts as told.
+func TestWatch(t *testing.T) {
+	b := newBed(t, 1, false)
+	var calls []*end
+	l, err := b.loop.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(s *poll.Socket, _ bool) poll.Handler {
+		e := &end{sock: s}
+		calls = append(calls, e)
+		return e
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.engine.watch.Stop()
+	b.engine.watch = routes.NewWatch(b.loop, l.Addr(), 7, rand.New(rand.NewPCG(1, 1)), &b.count.Watches, b.engine.news)
+	b.engine.watch.Start()
+	b.until("a call", func() bool { return len(calls) == 1 && bytes.Contains(calls[0].got, []byte("\r\n\r\n")) })
+	if !strings.HasPrefix(string(calls[0].got), "GET /registry/instances?index=7&wait=") {
+		t.Errorf("asked %q", calls[0].got)
+	}
+	calls[0].got = nil
+	calls[0].say(t, "HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{\"seq\":9,\"whole\":false,")
+	calls[0].say(t, "\"hosts\":[]}")
+	b.settle()
+	// The next call must follow within 200 ms, on the same connection.
+	if len(calls) != 1 || !strings.Contains(string(calls[0].got), "index=9&") {
+		t.Fatalf("%d connections; asked %q", len(calls), calls[0].got)
+	}
+	calls[0].say(t, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+	b.settle()
+	if len(calls) != 1 || b.count.WatchesFailed != 1 {
+		t.Errorf("%d calls right after a failure", len(calls))
+	}
+	b.until("a retry", func() bool { return len(calls) == 2 })
+	calls[1].sock.Reset()
+	calls[1].reset = true
+	b.until("another retry", func() bool { return len(calls) == 3 })
+	if b.count.WatchesFailed != 2 || b.engine.table.Find("s0") == nil {
+		t.Errorf("%+v", b.count)
+	}
+	b.engine.watch.Stop()
+}
--- /dev/null
+++ b/internal/proxy/model_test.go
@@ -0,0 +1,160 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// peerModel is what a client's connection must be, whatever has happened to it.
+type peerModel struct {
+	id     string
+	client *end
+	target *end // once it stands
+	state  modelState
+	opened string // what the client got before its answer
+	down   string // lines of the target that the client must have
+	up     string // lines of the client that the target must have
+	tail   string // part of a line that the target has begun
+	moved  bool
+}
+
+type modelState uint8
+
+const (
+	mOpening modelState = iota
+	mAsked
+	mStanding
+	mOver // one side ended it, or the proxy did
+)
+
+// FuzzConnections takes random steps with several clients and two targets and checks each connection against
+// the model: one final answer, lines unchanged and in order, MOVE between whole lines, one hop at a time, and
+// everything given back in the end.
+func FuzzConnections(f *testing.F) {
+	f.Add([]byte{0, 0, 1, 0, 3, 0, 5, 0, 6, 0, 7, 0, 5, 0, 10, 0})
+	f.Add([]byte{0, 1, 1, 1, 0, 2, 1, 2, 3, 2, 3, 1, 6, 1, 5, 2, 8, 1, 9, 2})
+	f.Add([]byte{0, 0, 2, 0, 1, 0, 4, 0, 3, 0, 7, 0, 10, 0, 0, 0, 1, 0, 11, 0})
+	f.Add([]byte{0, 0, 1, 0, 9, 0, 0, 1, 1, 1, 12, 1, 0, 2, 1, 2, 3, 2, 12, 2, 0, 3, 13, 3})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		b := newBed(t, 2, false)
+		var all, ends []*end
+		models := map[byte]*peerModel{}
+		for n := 0; n+1 < len(steps) && n < 120; n += 2 {
+			who := steps[n+1] % 4
+			m := models[who]
+			if m == nil || m.state == mOver {
+				if steps[n]%14 != 0 {
+					continue
+				}
+				m = &peerModel{id: fmt.Sprintf("%d-%d", who, n), client: b.client()}
+				models[who], all = m, append(all, m.client)
+				continue
+			}
+			m.step(b, steps[n]%14, n)
+			b.settle()
+			m.check(b)
+			ends = ends[:0]
+			for _, h := range b.hops {
+				if strings.HasPrefix(string(h.got), "OPEN "+m.id+" ") && !h.eof && !h.reset {
+					ends = append(ends, h)
+				}
+			}
+			if len(ends) > 1 {
+				t.Fatalf("%s: %d hops at once", m.id, len(ends))
+			}
+		}
+		b.over(all...)
+		if b.engine.count.Overdue > 0 {
+			t.Fatal("the engine answered in the module's place")
+		}
+	})
+}
+
+// step does one thing to a connection and tells the model what must come of it.
+func (m *peerModel) step(b *bed, what byte, n int) {
+	h := b.asked(m.id)
+	switch {
+	case what == 1 && m.state == mOpening:
+		m.client.say(b.t, "OPEN "+m.id+" k c=c,d=2000,g=1\r\n")
+		m.state = mAsked
+	case what == 2 && m.state == mOpening:
+		m.client.say(b.t, "PING\r\n")
+		m.opened += "PONG\r\n"
+	case what == 3 && m.state == mAsked && h != nil && !h.eof:
+		m.target, m.state = h, mStanding
+		m.up, m.down = string(h.got), m.opened+"UP "+m.id+"\r\n"
+		h.say(b.t, "UP "+m.id+"\r\n")
+	case what == 4 && m.state == mAsked && h != nil && !h.eof:
+		h.say(b.t, "BUSY cpu=0.9\r\n")
+	case what == 5 && m.state == mStanding:
+		text := fmt.Sprintf("%sreading %d\r\nLOAD %d\r\n", m.tail, n, n)
+		m.target.say(b.t, strings.TrimPrefix(text, m.tail))
+		m.down, m.tail = m.down+text, ""
+	case what == 6 && m.state == mStanding:
+		text := fmt.Sprintf("beat %d\r\nagain\r\n", n)
+		m.client.say(b.t, text[:5])
+		b.settle()
+		m.client.say(b.t, text[5:])
+		m.up += text
+	case what == 7 && m.state == mStanding && m.tail == "":
+		m.tail = "half "
+		m.target.say(b.t, m.tail)
+	case what == 8 && m.state == mStanding: // the target says good-bye
+		text := m.tail + "BYE\r\n"
+		m.target.say(b.t, strings.TrimPrefix(text, m.tail))
+		m.target.sock.CloseWrite()
+		m.down, m.state = m.down+text, mOver
+	case what == 9 && m.state != mOver: // the client ends its sending
+		m.client.sock.CloseWrite()
+		m.state = mOver
+	case what == 10 && m.state == mStanding:
+		for id, x := range b.engine.exchanges {
+			if s := x.client.(*session); s.open.ID == m.id {
+				(*host)(b.engine).Move(id)
+			}
+		}
+		m.down, m.state, m.moved = m.down+"MOVE\r\n", mOver, true
+	case what == 11 && m.state == mStanding: // the target breaks: all else is void
+		m.target.reset = true
+		m.target.sock.Reset()
+		b.until("the reset", func() bool { return m.client.reset })
+		m.state = mOver
+	case what == 12 && m.state != mOver:
+		m.client.reset = true
+		m.client.sock.Reset()
+		m.state = mOver
+	case what == 13 && m.state == mOpening:
+		m.client.say(b.t, "nonsense\r\n")
+		m.opened, m.state = m.opened+"SYNTAX\r\n", mOver
+		b.until("SYNTAX", func() bool { return m.client.eof && string(m.client.got) == m.opened })
+	}
+}
+
+func (m *peerModel) check(b *bed) {
+	got := string(m.client.got)
+	switch {
+	case m.target == nil:
+		rest := strings.TrimPrefix(got, m.opened)
+		if rest != "" && rest != "BUSY\r\n" {
+			b.t.Fatalf("%s: before it stands the client got %q", m.id, got)
+		}
+		if rest != "" {
+			m.state = mOver
+		}
+	case m.state == mStanding || m.moved:
+		if got != m.down {
+			b.t.Fatalf("%s: the client got %q, not %q", m.id, got, m.down)
+		}
+		if up := string(m.target.got); up != m.up {
+			b.t.Fatalf("%s: the target got %q, not %q", m.id, up, m.up)
+		}
+		if m.moved {
+			b.until("both ends closed", func() bool {
+				return m.client.eof && (m.target.eof || m.target.reset)
+			})
+		}
+	case !m.client.reset && !strings.HasPrefix(m.down, got):
+		b.t.Fatalf("%s: the client got %q, which is not of %q", m.id, got, m.down)
+	}
+}
