Refusals in the module's place carry advice; discovery is retried within 3 s

Read, not measured: an exchange that the engine answers in the module's place got BUSY without a time, and the backoff of the watch could reach 6 s, after which news that was missed meanwhile counts as told.

--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -140,7 +140,7 @@
 	}
 	e.count.Overdue++
 	e.log.Printf("exchange %d: no answer from the module in time", x.id)
-	x.client.Shed(0)
+	x.client.Shed(fromModule(e.set.Config.MaxAdvice))
 	x.Left()
 }
 
--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -19,7 +19,7 @@
 	dialWait    = 500 * time.Millisecond
 	// All proxies lose discovery together, which takes a few calls a second: their retries are drawn apart.
 	retryFrom = 250 * time.Millisecond
-	retryMost = 4 * time.Second
+	retryMost = 2 * time.Second
 )
 
 // Watch keeps a watch on discovery: the next call follows each answer at once, on the same connection where
