The module's times become time.Time and time.Duration, its result unchanged

Seen: the module, the wire and the settings counted microseconds in int64 aliases. Changed: balance, internal/settings, internal/wire (conversion at the wire's edge), internal/proxy (no conversion any more). micros and span keep the arithmetic that the decisions had, in whole microseconds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,38 +5,40 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 const (
-	probeEvery  = 3_000_000 // t of the paper, in microseconds
-	step        = 5         // A of the paper: a smaller change of a weight is noise
-	fullWeight  = 100       // W of a backend that joins
-	floorWeight = 1         // keeps W positive, so that a full backend is still the last resort
-	jitter      = 0.2       // part of a timer that is drawn, so that relays do not act in step
-	scanSize    = 3         // backends of a sampled scan
-	fallShare   = 0.8       // part of the fall multiple that all relays mean to send a cold backend
-	drawTries   = 6         // draws for each backend of a sample, so that few ready ones are found
-	scanFresh   = 200_000   // a scan younger than this, in microseconds, serves further requests
-	heldFresh   = 2         // doublings of that age for requests that were held: their looks are most by far
-	groupRanks  = 6         // backends on which a group may spill at all relays alike
-	groupCost   = 2.0       // a backend that would pay for a group anew needs this many times the weight
-	groupSpill  = 25.0      // and this many more idle points, for each place after the first
-	shedWeight  = 25.0      // idle points below which a backend takes no new connection
-	worthMost   = 2.0       // most that the bar rises by a worth below the mean
-	overSlack   = 1.5       // a tenant's share is passed over until it is exceeded by this factor
-	overMost    = 3.0       // most idle points asked of a tenant beyond its share, in shedWeights
-	reliefAt    = 0.95      // load of a backend from which its connections are moved...
-	reliefTo    = 0.65      // ...down to this, well under the bar, so that it is not full again at once
-	reportLag   = 1_000_000 // how long one report, in microseconds, is all that is known of a backend
-	scanWait    = 0.1       // part of the aim for which a request waits for a scan
-	crossing    = 10.0      // passes over a backend of another zone in a draw, for each unit of its price
-	firstShare  = 0.4       // part of the aim that a first attempt may take: there must be time for another
-	maxWindow   = 32.0      // attempts that may be out at once, not counting connections that stand
-	backoff     = 0.4       // part of the aim before a second try while most attempts fail; then doubles
-	commonFail  = 0.5       // part of the attempts that fail when it is no single backend's fault
-	lastWeight  = 0.25      // of one attempt or request in a mean: three failures in a row bring it over half
-	ejectFor    = 1.0       // first ejection of a failing backend, in probe periods; doubles each time
-	ejectMost   = 4         // doublings of an ejection
+	probeEvery = 3 * time.Second        // t of the paper
+	scanFresh  = 200 * time.Millisecond // a scan younger than this serves further requests
+	reportLag  = time.Second            // how long one report is all that is known of a backend
+
+	step        = 5    // A of the paper: a smaller change of a weight is noise
+	fullWeight  = 100  // W of a backend that joins
+	floorWeight = 1    // keeps W positive, so that a full backend is still the last resort
+	jitter      = 0.2  // part of a timer that is drawn, so that relays do not act in step
+	scanSize    = 3    // backends of a sampled scan
+	fallShare   = 0.8  // part of the fall multiple that all relays mean to send a cold backend
+	drawTries   = 6    // draws for each backend of a sample, so that few ready ones are found
+	heldFresh   = 2    // doublings of that age for requests that were held: their looks are most by far
+	groupRanks  = 6    // backends on which a group may spill at all relays alike
+	groupCost   = 2.0  // a backend that would pay for a group anew needs this many times the weight
+	groupSpill  = 25.0 // and this many more idle points, for each place after the first
+	shedWeight  = 25.0 // idle points below which a backend takes no new connection
+	worthMost   = 2.0  // most that the bar rises by a worth below the mean
+	overSlack   = 1.5  // a tenant's share is passed over until it is exceeded by this factor
+	overMost    = 3.0  // most idle points asked of a tenant beyond its share, in shedWeights
+	reliefAt    = 0.95 // load of a backend from which its connections are moved...
+	reliefTo    = 0.65 // ...down to this, well under the bar, so that it is not full again at once
+	scanWait    = 0.1  // part of the aim for which a request waits for a scan
+	crossing    = 10.0 // passes over a backend of another zone in a draw, for each unit of its price
+	firstShare  = 0.4  // part of the aim that a first attempt may take: there must be time for another
+	maxWindow   = 32.0 // attempts that may be out at once, not counting connections that stand
+	backoff     = 0.4  // part of the aim before a second try while most attempts fail; then doubles
+	commonFail  = 0.5  // part of the attempts that fail when it is no single backend's fault
+	lastWeight  = 0.25 // of one attempt or request in a mean: three failures in a row bring it over half
+	ejectFor    = 1.0  // first ejection of a failing backend, in probe periods; doubles each time
+	ejectMost   = 4    // doublings of an ejection
 )
 
 // Kinds of timer, in the low bits of a token; a request's id is above them.
@@ -48,8 +50,8 @@
 )
 
 // Start begins the relay's work; it comes before every other event.
-func (b *Balancer) Start(now Time) {
-	b.host.After(int64(b.rng.Float64()*probeEvery*jitter), timerProbe)
+func (b *Balancer) Start(now time.Time) {
+	b.host.After(span(b.rng.Float64()*micros(probeEvery)*jitter), timerProbe)
 	if b.cfg.Subscribe {
 		b.watch()
 	}
@@ -62,18 +64,18 @@
 }
 
 // spread draws a time near d.
-func (b *Balancer) spread(d Duration) Duration {
-	return int64(float64(d) * (1 + jitter*(b.rng.Float64()-0.5)))
+func (b *Balancer) spread(d time.Duration) time.Duration {
+	return span(micros(d) * (1 + jitter*(b.rng.Float64()-0.5)))
 }
 
 // Members takes discovery's news.
-func (b *Balancer) Members(now Time, kind ListKind, list []Backend) {
+func (b *Balancer) Members(now time.Time, kind ListKind, list []Backend) {
 	if kind == ListBroken {
 		// All relays lose discovery together: what they ask again must not come together too.
 		b.watching = false
 		b.broken++
-		wait := float64(min(probeEvery<<min(b.broken-1, ejectMost), max(b.cfg.Rules.AskWithin, probeEvery)))
-		b.host.After(int64(wait*(1+b.rng.Float64())/2), timerWatch)
+		wait := micros(min(probeEvery<<min(b.broken-1, ejectMost), max(b.cfg.Rules.AskWithin, probeEvery)))
+		b.host.After(span(wait*(1+b.rng.Float64())/2), timerWatch)
 		return
 	}
 	if kind != ListStale {
@@ -83,9 +85,9 @@
 }
 
 // Request takes a client's request: it is placed at once, or held while no backend may take it.
-func (b *Balancer) Request(now Time, q Request) {
+func (b *Balancer) Request(now time.Time, q Request) {
 	r := b.add(q)
-	r.deadline = now + max(q.Left, 0)
+	r.deadline = now.Add(max(q.Left, 0))
 	b.arrivals++
 	b.worth += (b.class(q.Class).Worth - b.worth) * lastWeight
 	if k := b.left[q.Key]; q.MidFlow && k != nil && k.State == Ready {
@@ -98,7 +100,7 @@
 // seek draws a request's sample of the backends and places the request once their reports are fresh. On a
 // big fleet this takes the place of probing all: one relay's few requests do not pay for so many probes,
 // and relays that look at different samples do not herd to the same backend.
-func (b *Balancer) seek(now Time, r *request) {
+func (b *Balancer) seek(now time.Time, r *request) {
 	// Attempts that all fail for one cause (a shared store, a mass return) queue up there in vain: as in
 	// congestion control, fewer are sent at a time, down to one, until some succeed.
 	if float64(b.out) >= b.window {
@@ -120,19 +122,19 @@
 		return
 	}
 	b.scanning = append(b.scanning, r)
-	wait := float64(min(b.class(r.Class).Aim, r.deadline-now)) * scanWait
-	b.wake(now, r, int64(wait))
+	wait := micros(min(b.class(r.Class).Aim, r.deadline.Sub(now))) * scanWait
+	b.wake(now, r, span(wait))
 }
 
 // wake sets a request's timer; the last one set counts.
-func (b *Balancer) wake(now Time, r *request, d Duration) {
-	r.due = now + d
+func (b *Balancer) wake(now time.Time, r *request, d time.Duration) {
+	r.due = now.Add(d)
 	b.host.After(d, r.ID<<timerBits|timerRequest)
 }
 
 // probe asks for a report unless there is one younger than age. It tells whether one is to come.
-func (b *Balancer) probe(now Time, k *backend, age Duration) bool {
-	if !b.cfg.MayProbe || k.seen > 0 && now-k.seen < age {
+func (b *Balancer) probe(now time.Time, k *backend, age time.Duration) bool {
+	if !b.cfg.MayProbe || !k.seen.IsZero() && now.Sub(k.seen) < age {
 		return false
 	}
 	if !k.asked {
@@ -143,9 +145,9 @@
 }
 
 // draw takes a random sample of the warm backends, and a cold one that was offered a connection.
-func (b *Balancer) draw(now Time, r *request) {
+func (b *Balancer) draw(now time.Time, r *request) {
 	for added := false; len(b.offers) > 0 && !added; b.offers = b.offers[1:] {
-		if o := b.offers[0]; now-o.at < b.cfg.Rules.FallWithin && o.to.State == Ready {
+		if o := b.offers[0]; now.Sub(o.at) < b.cfg.Rules.FallWithin && o.to.State == Ready {
 			r.sample = append(r.sample, o.to)
 			added = true
 		}
@@ -171,7 +173,7 @@
 // But what ends well was borne by the warm ones. The part of it that one of them bears, times a cold one's
 // warmth, is within what that may be sent, and is so at each relay alone. (When this was shared out over the
 // cold ones too, which bear nothing yet, most of a fleet that was enlarged threefold stood idle.)
-func (b *Balancer) offer(now Time, ended *backend) {
+func (b *Balancer) offer(now time.Time, ended *backend) {
 	if b.warmth(now, ended) < 1 {
 		return
 	}
@@ -190,7 +192,7 @@
 // drawGroup takes the backend that ranks first for the request's group by a hash, and the second; for one
 // that was held, another of the first groupRanks. All relays rank alike without a word between them, so a
 // group and its spills stay together and few backends pay for it.
-func (b *Balancer) drawGroup(now Time, r *request) {
+func (b *Balancer) drawGroup(now time.Time, r *request) {
 	h := hash(r.Group)
 	var ranks [groupRanks]uint64
 	for _, k := range b.ready {
@@ -218,8 +220,9 @@
 }
 
 // place sends a request to the backend with the fewest own connections for its weight.
-func (b *Balancer) place(now Time, r *request) {
-	spent := b.cfg.MaxAttempts > 0 && r.attempts >= b.cfg.MaxAttempts || r.attempts > 0 && now >= r.deadline
+func (b *Balancer) place(now time.Time, r *request) {
+	late := r.attempts > 0 && !now.Before(r.deadline)
+	spent := b.cfg.MaxAttempts > 0 && r.attempts >= b.cfg.MaxAttempts || late
 	if spent || r.ran != nil && b.class(r.Class).Repeat == RepeatNever {
 		b.conclude(r)
 	} else if k := b.pick(now, r); k != nil {
@@ -232,34 +235,34 @@
 }
 
 // park holds a request for a while before its next try, or concludes it if its time is too short for that.
-func (b *Balancer) park(now Time, r *request) {
-	wait := float64(b.class(r.Class).Aim) * backoff * float64(int64(1)<<min(r.parks, ejectMost))
+func (b *Balancer) park(now time.Time, r *request) {
+	wait := micros(b.class(r.Class).Aim) * backoff * float64(int64(1)<<min(r.parks, ejectMost))
 	wait = max(wait*(0.5+b.rng.Float64()), 1)
 	r.parks++
-	if now+int64(wait) >= r.deadline {
+	if !now.Add(span(wait)).Before(r.deadline) {
 		b.conclude(r)
 		return
 	}
-	b.wake(now, r, int64(wait))
+	b.wake(now, r, span(wait))
 }
 
-func (b *Balancer) send(now Time, r *request, k *backend) {
-	timeout, c := r.deadline-now, b.class(r.Class)
+func (b *Balancer) send(now time.Time, r *request, k *backend) {
+	timeout, c := r.deadline.Sub(now), b.class(r.Class)
 	if r.attempts == 0 && b.cfg.MaxAttempts != 1 && c.Repeat != RepeatNever && b.failing < commonFail {
 		// A backend that accepts and stays silent must leave time for another try inside the aim. Where the
 		// second is slow too, it is hardly the backend: more would queue up at what all of them wait for.
-		timeout = min(timeout, int64(float64(c.Aim)*firstShare))
+		timeout = min(timeout, span(micros(c.Aim)*firstShare))
 	}
 	r.attempts++
 	r.sent = now
 	b.out++
 	r.tried = append(r.tried, k)
 	b.hold(r, k)
-	if now-k.seen >= probeEvery {
+	if now.Sub(k.seen) >= probeEvery {
 		k.fresh = 0 // without reports the bar would shut out for ever what this relay has used
 	}
 	k.fresh++
-	b.host.Send(r.ID, k.ID, max(timeout, 1))
+	b.host.Send(r.ID, k.ID, max(timeout, time.Microsecond))
 }
 
 // pick is the rule of the design: least own connections for each unit of weight, ties at random, among the
@@ -267,7 +270,7 @@
 //
 // Near saturation one more connection spoils those that a backend has. None is placed that would find less
 // than shedWeight idle points: it is held, and in the end refused.
-func (b *Balancer) pick(now Time, r *request) *backend {
+func (b *Balancer) pick(now time.Time, r *request) *backend {
 	var best *backend
 	var least float64
 	var wanted []*backend
@@ -327,8 +330,8 @@
 // room is the part of the requests that want a backend which may go there. Until its next report all relays
 // read the same one: the more they are, the further they would fill it beyond what it tells, and relief
 // empties it again. The own wants times the relays tell how many to expect; its head room, how many it bears.
-func (b *Balancer) room(now Time, k *backend) float64 {
-	wants := k.wantsBy(now) * float64(b.cfg.Balancers) * reportLag / probeEvery
+func (b *Balancer) room(now time.Time, k *backend) float64 {
+	wants := k.wantsBy(now) * float64(b.cfg.Balancers) * micros(reportLag) / micros(probeEvery)
 	if !(k.each > 0) || wants <= 0 {
 		return 1
 	}
@@ -345,27 +348,27 @@
 }
 
 // usable tells whether a request may go to a backend.
-func (b *Balancer) usable(now Time, r *request, k *backend) bool {
+func (b *Balancer) usable(now time.Time, r *request, k *backend) bool {
 	return k.State == Ready && !slices.Contains(r.tried, k) && b.repeatable(now, r, k)
 }
 
 // warmth is the part of its capacity that a backend must have by now.
-func (b *Balancer) warmth(now Time, k *backend) float64 {
+func (b *Balancer) warmth(now time.Time, k *backend) float64 {
 	r := b.cfg.Rules
-	age := now - k.Boot
-	if k.Boot == 0 || age >= r.WarmWithin {
+	age := now.Sub(k.Boot)
+	if k.Boot.IsZero() || age >= r.WarmWithin {
 		return 1
 	}
 	return r.ColdFrom + (1-r.ColdFrom)*float64(max(age, 0))/float64(r.WarmWithin)
 }
 
 // repeatable tells whether sending to a backend can have no effect twice.
-func (b *Balancer) repeatable(now Time, r *request, k *backend) bool {
+func (b *Balancer) repeatable(now time.Time, r *request, k *backend) bool {
 	c := b.class(r.Class)
 	if r.ran == nil || c.Repeat == RepeatFree {
 		return true
 	}
-	if c.Repeat == RepeatNever || now-r.ranSince >= c.Window {
+	if c.Repeat == RepeatNever || now.Sub(r.ranSince) >= c.Window {
 		return false
 	}
 	return c.Scope == ScopeAll || c.Scope == ScopeZone && k.Zone == r.ran.Zone ||
@@ -384,7 +387,7 @@
 }
 
 // Started tells that a connection stands.
-func (b *Balancer) Started(now Time, id RequestID) {
+func (b *Balancer) Started(now time.Time, id RequestID) {
 	if r := b.requests[id]; r != nil && r.at != nil && !r.open {
 		r.open = true
 		b.out--
@@ -395,7 +398,7 @@
 }
 
 // Finished tells how an attempt or its connection ended; settled: nothing is owed to the client any more.
-func (b *Balancer) Finished(now Time, id RequestID, attempt int, settled bool, o Outcome, rep Report) {
+func (b *Balancer) Finished(now time.Time, id RequestID, attempt int, settled bool, o Outcome, rep Report) {
 	r := b.requests[id]
 	if r == nil || r.at == nil || attempt != r.attempts-1 {
 		return
@@ -435,7 +438,7 @@
 
 // judge counts failures in a row and ejects a backend that fails: discovery only knows whether a process
 // runs, and learns even that late.
-func (b *Balancer) judge(now Time, k *backend, o Outcome) {
+func (b *Balancer) judge(now time.Time, k *backend, o Outcome) {
 	switch o {
 	case OK:
 		k.strikes = 0
@@ -444,7 +447,7 @@
 		return
 	}
 	times := float64(int64(1) << min(k.strikes, ejectMost))
-	k.until = now + b.spread(int64(ejectFor*probeEvery*times))
+	k.until = now.Add(b.spread(span(ejectFor * micros(probeEvery) * times)))
 	k.strikes++
 }
 
@@ -466,7 +469,7 @@
 }
 
 // Probed takes the answer to a probe; where none came, W stays.
-func (b *Balancer) Probed(now Time, id string, o Outcome, rep Report) {
+func (b *Balancer) Probed(now time.Time, id string, o Outcome, rep Report) {
 	k := b.byID[id]
 	if k == nil {
 		return
@@ -498,8 +501,8 @@
 // relieve moves own connections off an overloaded backend: there all messages are late, and work that has
 // piled up does not go away by itself. Every relay moves the same part of its own, drawn so that small
 // numbers add up, and then waits until reports can show what that did.
-func (b *Balancer) relieve(now Time, k *backend, load float64) {
-	if !(load > reliefAt) || now-k.relief < probeEvery {
+func (b *Balancer) relieve(now time.Time, k *backend, load float64) {
+	if !(load > reliefAt) || now.Sub(k.relief) < probeEvery {
 		return
 	}
 	k.relief = now
@@ -530,18 +533,18 @@
 
 // Note takes word on an open connection. Messages that are late there are a reason to look at its backend at
 // once: one relay can't afford to probe all those that hold a few of its connections in time for relief.
-func (b *Balancer) Note(now Time, id RequestID, n Note, level float64) {
+func (b *Balancer) Note(now time.Time, id RequestID, n Note, level float64) {
 	r := b.requests[id]
-	if r == nil || !r.open || n != NoteDelay || now-r.at.seen < reportLag {
+	if r == nil || !r.open || n != NoteDelay || now.Sub(r.at.seen) < reportLag {
 		return
 	}
-	if c := b.class(r.Class); level*1000 >= float64(c.MessageAim) {
+	if c := b.class(r.Class); level*1000 >= micros(c.MessageAim) {
 		b.probe(now, r.at, scanFresh)
 	}
 }
 
 // Timer takes a timer that is due.
-func (b *Balancer) Timer(now Time, token uint64) {
+func (b *Balancer) Timer(now time.Time, token uint64) {
 	switch token & (1<<timerBits - 1) {
 	case timerProbe:
 		b.host.After(b.spread(probeEvery), timerProbe)
@@ -550,7 +553,7 @@
 		b.arrivals = 0
 		for i, at := 0, b.rng.IntN(len(b.all)+1); i < len(b.all) && budget > 0; i++ {
 			k := b.all[(at+i)%len(b.all)]
-			if len(k.held) > 0 && now-k.seen >= probeEvery && b.probe(now, k, scanFresh) {
+			if len(k.held) > 0 && now.Sub(k.seen) >= probeEvery && b.probe(now, k, scanFresh) {
 				budget--
 			}
 		}
@@ -559,7 +562,7 @@
 			b.watch()
 		}
 	case timerRequest:
-		if r := b.requests[token>>timerBits]; r != nil && r.at == nil && !r.over && now >= r.due {
+		if r := b.requests[token>>timerBits]; r != nil && r.at == nil && !r.over && !now.Before(r.due) {
 			if i := slices.Index(b.scanning, r); i >= 0 {
 				b.scanning = slices.Delete(b.scanning, i, i+1)
 				b.place(now, r)
@@ -571,7 +574,7 @@
 }
 
 // Gone tells that a client left: nothing more is owed, but an attempt that is out still ends.
-func (b *Balancer) Gone(now Time, id RequestID) {
+func (b *Balancer) Gone(now time.Time, id RequestID) {
 	r := b.requests[id]
 	if r == nil {
 		return
--- a/balance/interface.go
+++ b/balance/interface.go
@@ -6,11 +6,7 @@
 // actions. It is not safe for concurrent use.
 package balance
 
-// Time is a point on the host's clock and Duration a span of it, both in microseconds.
-type (
-	Time     = int64
-	Duration = int64
-)
+import "time"
 
 // RequestID names one request of a client; the host never uses one twice. It stays below 1<<52.
 type RequestID = uint64
@@ -37,13 +33,13 @@
 
 // Class holds what is known of a kind of request.
 type Class struct {
-	Aim    Duration // a connection set up within this is in time
+	Aim    time.Duration // a connection set up within this is in time
 	Worth  float64
 	Repeat Repeat
 	Scope  Scope
-	Window Duration // for RepeatKeyed, from the send of the first attempt that may have run
+	Window time.Duration // for RepeatKeyed, from the send of the first attempt that may have run
 	// MessageAim is the time within which an open connection wants each message; 0: not told.
-	MessageAim Duration
+	MessageAim time.Duration
 }
 
 // Tenant holds what one tenant may use.
@@ -53,12 +49,12 @@
 
 // Rules are the figures of the rules that a relay keeps.
 type Rules struct {
-	AnswerSlack  Duration // an answer this long after the client's deadline still counts
-	AskWithin    Duration // longest time without a subscription or a question to discovery
-	ColdFrom     float64  // least share of its capacity with which a backend starts
-	WarmWithin   Duration // time after which a backend has all of its capacity
-	FallMultiple float64  // work above this many times the present capacity...
-	FallWithin   Duration // ...for this long makes a cold backend fall
+	AnswerSlack  time.Duration // an answer this long after the client's deadline still counts
+	AskWithin    time.Duration // longest time without a subscription or a question to discovery
+	ColdFrom     float64       // least share of its capacity with which a backend starts
+	WarmWithin   time.Duration // time after which a backend has all of its capacity
+	FallMultiple float64       // work above this many times the present capacity...
+	FallWithin   time.Duration // ...for this long makes a cold backend fall
 }
 
 // Prices are parts of the service given up for each unit, where 1 is all of it.
@@ -74,13 +70,13 @@
 	Tenants     []Tenant
 	Rules       Rules
 	Prices      Prices
-	MaxAttempts int      // for one request; 0: no limit
-	MaxAdvice   Duration // longest advice to stay away that a client may heed; 0: none is passed on
+	MaxAttempts int           // for one request; 0: no limit
+	MaxAdvice   time.Duration // longest advice to stay away that a client may heed; 0: none is passed on
 	MayProbe    bool
 	MayCancel   bool
-	Subscribe   bool     // discovery answers only when asked
-	Park        Duration // a backend keeps a connection whose packets stay away for this; 0: not at all
-	Groups      bool     // a backend pays once for all connections of a group that it holds
+	Subscribe   bool          // discovery answers only when asked
+	Park        time.Duration // a backend keeps a connection whose packets stay away for this; 0: not at all
+	Groups      bool          // a backend pays once for all connections of a group that it holds
 }
 
 // State is what discovery says of a backend.
@@ -100,7 +96,7 @@
 	Cell  int
 	State State
 	Size  float64
-	Boot  Time // when its process last started; 0: long ago
+	Boot  time.Time // when its process last started; the zero time: long ago
 }
 
 // ListKind tells what a list of backends is.
@@ -117,13 +113,13 @@
 // Request is a client's request for a connection.
 type Request struct {
 	ID      RequestID
-	Class   int      // index in Config.Classes; -1: unknown
-	Tenant  int      // index in Config.Tenants; -1: none
-	Group   string   // connections of one group share work; empty: none
-	Key     string   // what the request is about; empty: unknown
-	Left    Duration // until the client gives up
-	MidFlow bool     // packets of an open connection that another relay carried before
-	Again   bool     // the client came back after a break or a move
+	Class   int           // index in Config.Classes; -1: unknown
+	Tenant  int           // index in Config.Tenants; -1: none
+	Group   string        // connections of one group share work; empty: none
+	Key     string        // what the request is about; empty: unknown
+	Left    time.Duration // until the client gives up
+	MidFlow bool          // packets of an open connection that another relay carried before
+	Again   bool          // the client came back after a break or a move
 }
 
 // Outcome is how an attempt or a probe ended.
@@ -167,9 +163,9 @@
 // Host carries out what a Balancer decides. Its methods must not call back into the Balancer.
 type Host interface {
 	// Send starts the next attempt of a request; attempts are numbered from 0.
-	Send(id RequestID, backend string, timeout Duration)
+	Send(id RequestID, backend string, timeout time.Duration)
 	// Refuse is a final answer: turned away, and harmless to try again (after the advice, if not 0).
-	Refuse(id RequestID, advice Duration)
+	Refuse(id RequestID, advice time.Duration)
 	// Fail is a final answer: failed, with no word on its effect.
 	Fail(id RequestID)
 	// Cancel stops waiting for an attempt.
@@ -181,5 +177,5 @@
 	// Watch subscribes to discovery's changes; Members answers.
 	Watch()
 	// After asks for a Timer event with the token.
-	After(d Duration, token uint64)
+	After(d time.Duration, token uint64)
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"time"
 )
 
 // What a relay keeps in mind, and its bookkeeping. Nothing is decided here.
@@ -17,39 +18,39 @@
 	hash    uint64     // of its id
 	asked   bool       // a probe is out
 	missed  bool       // its last probe was not answered
-	seen    Time       // last report
+	seen    time.Time  // last report
 	each    float64    // load of one of its connections, by its last report; NaN: not told
 	wants   float64    // own requests that wanted it of late, older ones counting less
-	wanted  Time
-	relief  Time // connections were last moved away then
-	strikes int  // failures in a row
-	until   Time // ejected until then
+	wanted  time.Time
+	relief  time.Time // connections were last moved away then
+	strikes int       // failures in a row
+	until   time.Time // ejected until then
 }
 
 // request is one that this relay holds, from its arrival to the end of its last attempt.
 type request struct {
 	Request
-	deadline Time
+	deadline time.Time
 	attempts int
-	at       *backend // where its attempt or connection is; nil: none is out
-	pos      int      // index in at.held
-	open     bool     // the connection stands
-	moved    bool     // its client was asked to come again
-	over     bool     // nothing more is owed to the client
-	sent     Time     // its last attempt
-	ran      *backend // where the first attempt that may have run went; nil: none may have
-	ranSince Time
+	at       *backend  // where its attempt or connection is; nil: none is out
+	pos      int       // index in at.held
+	open     bool      // the connection stands
+	moved    bool      // its client was asked to come again
+	over     bool      // nothing more is owed to the client
+	sent     time.Time // its last attempt
+	ran      *backend  // where the first attempt that may have run went; nil: none may have
+	ranSince time.Time
 	tried    []*backend
 	sample   []*backend // the backends looked at for it
 	parks    int        // times it was held
 	awaited  int        // their reports that are still to come
-	due      Time       // of its timer; an earlier one is stale
+	due      time.Time  // of its timer; an earlier one is stale
 }
 
 // offer lets a cold backend be sent one connection, soon.
 type offer struct {
 	to *backend
-	at Time
+	at time.Time
 }
 
 // Balancer decides for one relay. See the package's comment for how to use it.
@@ -70,7 +71,7 @@
 	window   float64             // how many of these there may be
 	tenants  []int               // own connections of each tenant
 	left     map[string]*backend // by key: where connections are whose packets go elsewhere
-	cleared  Time                // left was last emptied then
+	cleared  time.Time           // left was last emptied then
 	watching bool
 	broken   int // questions to discovery that failed, in a row
 }
@@ -102,7 +103,7 @@
 }
 
 // Open takes a connection that runs through this relay at its start.
-func (b *Balancer) Open(now Time, q Request, id string) {
+func (b *Balancer) Open(now time.Time, q Request, id string) {
 	r := b.add(q)
 	r.attempts, r.open = 1, true
 	k := b.byID[id]
@@ -164,9 +165,9 @@
 		b.all = append(b.all, k)
 		return
 	}
-	if m.Boot > k.Boot {
+	if m.Boot.After(k.Boot) {
 		// A process that restarted under its id is another backend: what was known of it is void.
-		k.weight, k.strikes, k.until = fullWeight, 0, 0
+		k.weight, k.strikes, k.until = fullWeight, 0, time.Time{}
 	}
 	k.Backend = *m
 }
@@ -196,11 +197,11 @@
 }
 
 // shunned tells whether it failed of late, or left its last probe unanswered.
-func (k *backend) shunned(now Time) bool { return k.missed || now < k.until }
+func (k *backend) shunned(now time.Time) bool { return k.missed || now.Before(k.until) }
 
 // wantsBy returns the backend's recent wants, which fade within a probe period or so.
-func (k *backend) wantsBy(now Time) float64 {
-	return k.wants * math.Exp(-float64(now-k.wanted)/probeEvery)
+func (k *backend) wantsBy(now time.Time) float64 {
+	return k.wants * math.Exp(-micros(now.Sub(k.wanted))/micros(probeEvery))
 }
 
 // holds tells whether a connection of the group is known to be there.
@@ -214,11 +215,11 @@
 }
 
 // leave keeps in mind for a while where a connection is whose packets go elsewhere.
-func (b *Balancer) leave(now Time, r *request, k *backend) {
+func (b *Balancer) leave(now time.Time, r *request, k *backend) {
 	if b.cfg.Park <= 0 || r.Key == "" {
 		return
 	}
-	if now-b.cleared > b.cfg.Park {
+	if now.Sub(b.cleared) > b.cfg.Park {
 		clear(b.left)
 		b.cleared = now
 	}
@@ -231,6 +232,11 @@
 	delete(b.requests, r.ID)
 }
 
+// micros and span turn spans into numbers and back. Hosts count timers in whole microseconds: one that the
+// module meant to be longer by a fraction would go off early and pass for stale.
+func micros(d time.Duration) float64 { return float64(d / time.Microsecond) }
+func span(us float64) time.Duration  { return time.Duration(us) * time.Microsecond }
+
 // hash is FNV-1a; mix spreads its bits (the finalizer of SplitMix64).
 func hash(s string) uint64 {
 	h := uint64(14695981039346656037)
--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"ospreyspan/balance"
 	"ospreyspan/internal/poll"
@@ -62,7 +63,7 @@
 	kind    actionKind
 	id      balance.RequestID
 	target  string
-	span    balance.Duration
+	span    time.Duration
 	attempt int
 	token   uint64
 }
@@ -73,7 +74,7 @@
 // once is handed over at the next turn.
 func (e *Engine) Deliver() {
 	e.events, e.handed = e.handed[:0], e.events
-	now := e.clock()
+	now := e.loop.Now()
 	for i := range e.handed {
 		e.hand(now, &e.handed[i])
 		e.handed[i] = event{}
@@ -91,7 +92,7 @@
 	e.leaving = e.leaving[:0]
 }
 
-func (e *Engine) hand(now balance.Time, ev *event) {
+func (e *Engine) hand(now time.Time, ev *event) {
 	switch ev.kind {
 	case evList:
 		e.module.Members(now, ev.list, ev.entries)
@@ -123,7 +124,7 @@
 		if x != nil && !x.answered {
 			x.answered = true
 			e.count.Shed++
-			x.client.Shed(fromModule(a.span))
+			x.client.Shed(a.span)
 			e.release(x)
 		}
 	case acFail:
@@ -156,7 +157,7 @@
 	case acAfter:
 		t, token := &poll.Timer{}, a.token
 		t.Fire = func() { e.push(event{kind: evTimer, token: token}) }
-		e.loop.After(t, fromModule(a.span))
+		e.loop.After(t, a.span)
 	}
 }
 
@@ -176,7 +177,7 @@
 		e.push(event{kind: evEnded, x: x, attempt: x.hops - 1, outcome: balance.NoConnect, report: noReport})
 		return
 	}
-	e.hop(x, to, fromModule(a.span))
+	e.hop(x, to, a.span)
 }
 
 // host takes the module's actions down; Deliver carries them out.
@@ -184,11 +185,11 @@
 
 func (h *host) add(a action) { h.actions = append(h.actions, a) }
 
-func (h *host) Send(id balance.RequestID, backend string, timeout balance.Duration) {
+func (h *host) Send(id balance.RequestID, backend string, timeout time.Duration) {
 	h.add(action{kind: acSend, id: id, target: backend, span: timeout})
 }
 
-func (h *host) Refuse(id balance.RequestID, advice balance.Duration) {
+func (h *host) Refuse(id balance.RequestID, advice time.Duration) {
 	h.add(action{kind: acRefuse, id: id, span: advice})
 }
 func (h *host) Fail(id balance.RequestID) { h.add(action{kind: acFail, id: id}) }
@@ -198,6 +199,6 @@
 func (h *host) Move(id balance.RequestID) { h.add(action{kind: acMove, id: id}) }
 func (h *host) Probe(backend string)      { h.add(action{kind: acProbe, target: backend}) }
 func (h *host) Watch()                    { h.add(action{kind: acWatch}) }
-func (h *host) After(d balance.Duration, token uint64) {
+func (h *host) After(d time.Duration, token uint64) {
 	h.add(action{kind: acAfter, span: d, token: token})
 }
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -37,7 +37,6 @@
 	prober    Prober
 	count     *stats.Counters
 	log       *log.Logger
-	base      time.Time // the module's clock is the Unix time of the start plus what passed since
 	exchanges map[balance.RequestID]*Exchange
 	last      balance.RequestID
 	events    []event
@@ -61,7 +60,7 @@
 // NewEngine returns an Engine whose module has started; its first actions are carried out by Deliver.
 func NewEngine(c EngineConfig) (*Engine, error) {
 	e := &Engine{
-		loop: c.Loop, set: c.Settings, count: c.Count, log: c.Log, base: time.Now(),
+		loop: c.Loop, set: c.Settings, count: c.Count, log: c.Log,
 		exchanges: make(map[balance.RequestID]*Exchange),
 	}
 	module, err := balance.New(c.Settings.Config, c.Seed, (*host)(e))
@@ -70,17 +69,12 @@
 	}
 	e.module = module
 	e.watch = routes.NewWatch(c.Loop, c.Discovery, c.Known.Seq, rand.New(rand.NewPCG(c.Seed, 1)), &c.Count.Watches, e.news)
-	module.Start(e.clock())
+	module.Start(e.loop.Now())
 	e.table.Merge(c.Known)
 	e.push(event{kind: evList, list: balance.ListStale, entries: backends(c.Known.Hosts)})
 	return e, nil
 }
 
-// clock is the module's time: it does not go back when the machine's clock is set.
-func (e *Engine) clock() balance.Time {
-	return e.base.UnixMicro() + toModule(e.loop.Now().Sub(e.base))
-}
-
 // Pending tells whether events wait for Deliver: the loop must not sleep then.
 func (e *Engine) Pending() bool { return len(e.events) > 0 || len(e.actions) > 0 }
 
@@ -110,7 +104,7 @@
 	x := &Exchange{id: e.last, engine: e, client: c, deadline: e.loop.Now().Add(o.Wait)}
 	x.request = balance.Request{
 		ID: x.id, Class: class, Tenant: -1, Key: o.Key, Again: o.Again,
-		Left: toModule(o.Wait - margin(o.Wait)),
+		Left: o.Wait - margin(o.Wait),
 	}
 	if e.set.Config.Groups {
 		x.request.Group = o.Group
@@ -140,7 +134,7 @@
 	}
 	e.count.Overdue++
 	e.log.Printf("exchange %d: no answer from the module in time", x.id)
-	x.client.Shed(fromModule(e.set.Config.MaxAdvice))
+	x.client.Shed(e.set.Config.MaxAdvice)
 	x.Left()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,12 +112,12 @@
 		Balancers: s.Balancers,
 		Zone:      s.Zone,
 		Rules: balance.Rules{
-			AnswerSlack:  int64(s.Invariants.AnswerSlackUs),
-			AskWithin:    int64(s.Invariants.AskWithinUs),
+			AnswerSlack:  span(s.Invariants.AnswerSlackUs),
+			AskWithin:    span(s.Invariants.AskWithinUs),
 			ColdFrom:     s.Invariants.ColdFrom,
-			WarmWithin:   int64(s.Invariants.WarmWithinUs),
+			WarmWithin:   span(s.Invariants.WarmWithinUs),
 			FallMultiple: s.Invariants.TipMultiple,
-			FallWithin:   int64(s.Invariants.FallUs),
+			FallWithin:   span(s.Invariants.FallUs),
 		},
 		Prices:      balance.Prices{CrossZone: s.Prices.CrossZone},
 		MaxAttempts: s.Permissions.AttemptsCap,
@@ -125,10 +125,10 @@
 		MayCancel:   s.Permissions.Cancel,
 		Subscribe:   s.Discovery == "subscribe",
 		Groups:      s.Domain.Groups,
-		Park:        int64(s.Domain.ParkUs),
+		Park:        span(s.Domain.ParkUs),
 	}
 	if s.Permissions.RetryAfter {
-		cfg.MaxAdvice = int64(s.Permissions.MaxRetryAfterUs)
+		cfg.MaxAdvice = span(s.Permissions.MaxRetryAfterUs)
 	}
 	r := &Settings{
 		Classes: make(map[string]int), Tenants: make(map[string]int), Fields: s.Report.Fields,
@@ -146,15 +146,15 @@
 			scope = balance.ScopeCell
 		}
 		class := balance.Class{
-			Aim: int64(c.TargetUs), Worth: c.Worth,
-			Repeat: repeat, Scope: scope, Window: int64(c.WindowUs),
+			Aim: span(c.TargetUs), Worth: c.Worth,
+			Repeat: repeat, Scope: scope, Window: span(c.WindowUs),
 		}
 		r.Waits = append(r.Waits, span(c.HardLimitUs))
 		if i < len(s.Domain.MessageAimUs) {
 			if aim := span(s.Domain.MessageAimUs[i]); aim > 0 && (r.MessageAim == 0 || aim < r.MessageAim) {
 				r.MessageAim = aim
 			}
-			class.MessageAim = int64(s.Domain.MessageAimUs[i])
+			class.MessageAim = span(s.Domain.MessageAimUs[i])
 		}
 		cfg.Classes = append(cfg.Classes, class)
 		r.Classes[c.Name] = i
@@ -172,7 +172,7 @@
 }
 
 // span converts the object's microseconds.
-func span(us float64) time.Duration { return time.Duration(us * float64(time.Microsecond)) }
+func span(us float64) time.Duration { return time.Duration(us) * time.Microsecond }
 
 // Check tells what a proxy on sockets lacks in the settings, by the field's name. The simulator may leave out
 // any field; a proxy that started without these could serve nobody.
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"ospreyspan/balance"
 	"ospreyspan/internal/settings"
@@ -38,7 +39,7 @@
 type Event struct {
 	Kind     Kind
 	Relay    int
-	Now      balance.Time
+	Now      time.Time
 	Seed     uint64
 	Config   balance.Config
 	List     balance.ListKind
@@ -89,7 +90,7 @@
 	line    int
 	long    []byte
 	inBatch bool
-	now     balance.Time
+	now     time.Time
 	sheets  [catalogues][]balance.Backend
 	filled  [catalogues]bool
 	relays  map[int]*settings.Settings
@@ -180,7 +181,7 @@
 	*e = Event{Kind: m.kind}
 	switch m.kind {
 	case Frame:
-		r.now = r.integer(0)
+		r.now = time.UnixMicro(r.integer(0))
 		r.inBatch = true
 	case YourTurn:
 		r.inBatch = false
@@ -282,7 +283,7 @@
 	if !absent(r.parts[4]) {
 		q.Key = string(r.parts[4])
 	}
-	q.Left = r.optional(5)
+	q.Left = time.Duration(r.optional(5)) * time.Microsecond
 	if !absent(r.parts[7]) {
 		q.Group = string(r.parts[7])
 	}
@@ -327,7 +328,9 @@
 			Cell:  int(r.optional(3)),
 			State: word(r, states, 4),
 			Size:  1,
-			Boot:  r.optional(6),
+		}
+		if boot := r.optional(6); boot != 0 {
+			b.Boot = time.UnixMicro(boot)
 		}
 		if !absent(r.parts[5]) {
 			b.Size = r.number(r.parts[5])
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -4,6 +4,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"ospreyspan/balance"
 )
@@ -36,6 +37,9 @@
 	w.buf = strconv.AppendInt(w.buf, n, 10)
 }
 
+// span writes a span in the wire's microseconds.
+func (w *Writer) span(d time.Duration) { w.number(d.Microseconds()) }
+
 func (w *Writer) text(s string) {
 	w.buf = append(w.buf, ' ')
 	w.buf = append(w.buf, s...)
@@ -61,18 +65,18 @@
 	relay int
 }
 
-func (h host) Send(id balance.RequestID, backend string, timeout balance.Duration) {
+func (h host) Send(id balance.RequestID, backend string, timeout time.Duration) {
 	h.w.begin("SEND", h.relay)
 	h.w.number(int64(id))
 	h.w.text(backend)
-	h.w.number(timeout)
+	h.w.span(timeout)
 	h.w.end()
 }
 
-func (h host) Refuse(id balance.RequestID, advice balance.Duration) {
+func (h host) Refuse(id balance.RequestID, advice time.Duration) {
 	h.w.begin("SAY_NO", h.relay)
 	h.w.number(int64(id))
-	h.w.number(advice)
+	h.w.span(advice)
 	h.w.end()
 }
 
@@ -105,9 +109,9 @@
 	h.w.end()
 }
 
-func (h host) After(d balance.Duration, token uint64) {
+func (h host) After(d time.Duration, token uint64) {
 	h.w.begin("NOTIFY_ME", h.relay)
-	h.w.number(d)
+	h.w.span(d)
 	h.w.number(int64(token))
 	h.w.end()
 }
