--- /dev/null
+++ b/cmd/ospreyspan/config_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func example(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "..", "example", "config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func none(string) string { return "" }
+
+func TestConfig(t *testing.T) {
+	c, err := parseConfig([]byte(example(t)), func(name string) string {
+		return map[string]string{"EDGE_LISTEN": "127.0.0.9:1", "EDGE_NAME": "n7"}[name]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n7" || c.Listen.String() != "127.0.0.9:1" || c.Discovery.String() != "127.0.0.1:18500" ||
+		c.Seed != 0x8c1f30d27a5be964 || c.Limits.Sockets != 1024 || len(c.settings.Classes) != 2 ||
+		!c.settings.Config.Subscribe {
+		t.Errorf("read as %+v", c)
+	}
+}
+
+// A configuration that can't work must end the program with a message that names the field.
+func TestBadConfig(t *testing.T) {
+	for _, tt := range [][3]string{
+		{`"listen": "127.0.0.1:18440"`, `"listen": "nowhere"`, "listen"},
+		{`"listen": "127.0.0.1:18440",`, ``, "listen: missing"},
+		{`"discovery": "127.0.0.1:18500"`, `"discovery": 5`, "discovery"},
+		{`"8c1f30d27a5be964"`, `"green"`, "seed"},
+		{`"sockets": 1024`, `"sockets": "many"`, "sockets"},
+		{`"sockets": 1024`, `"sockets": -1`, "limits"},
+		{`"hosts": []`, `"hosts": [{"dial": "127.0.0.1:1"}]`, "known: hosts[0].host"},
+		{`"hosts": []`, `"hosts": [{"host": "a", "dial": "x"}]`, "known"},
+		{`"Balancers": 1`, `"Balancers": "one"`, "Balancers"},
+		{`"Balancers": 1`, `"Balancers": 1, "Invariants": {"ColdFrom": [1]}`, "ColdFrom"},
+		{`"DialTimeoutUs": 200000`, `"DialTimeoutUs": 0`, "DialTimeoutUs"},
+		{`"HardLimitUs": 1800000`, `"HardLimitUs": 0`, "HardLimitUs"},
+		{`"settings": {`, `"other": {`, "settings: missing"},
+		{`{`, ``, ""},
+	} {
+		text := strings.Replace(example(t), tt[0], tt[1], 1)
+		if text == example(t) {
+			t.Fatalf("%q is not in the example", tt[0])
+		}
+		if _, err := parseConfig([]byte(text), none); err == nil || !strings.Contains(err.Error(), tt[2]) {
+			t.Errorf("%q: error %v", tt[1], err)
+		}
+	}
+	for path, want := range map[string]string{"": "EDGE_CONFIG: not set", "/nonexistent/config": "EDGE_CONFIG: "} {
+		if _, err := loadConfig(func(string) string { return path }); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: error %v", path, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/poll/poll_test.go
@@ -0,0 +1,235 @@
+package poll
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+func newLoop(t *testing.T) *Loop {
+	t.Helper()
+	l, err := New(func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
+
+// Timers go off in order, once each, and not after they were disarmed, however they are mixed.
+func TestTimers(t *testing.T) {
+	l := newLoop(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	var fired, want []int
+	list := make([]Timer, 200)
+	at := make([]int, len(list))
+	for i := range list {
+		list[i].Fire = func() { fired = append(fired, at[i]) }
+		for range 1 + rng.IntN(3) { // arming again moves a timer
+			at[i] = rng.IntN(1000)
+			l.Arm(&list[i], l.now.Add(time.Duration(at[i])*time.Microsecond))
+		}
+		if rng.IntN(4) == 0 {
+			l.Disarm(&list[i])
+			l.Disarm(&list[i])
+		}
+	}
+	for i := range list {
+		if list[i].Armed() {
+			want = append(want, at[i])
+		}
+	}
+	slices.Sort(want)
+	l.timers.fire(l.now.Add(time.Second))
+	if !slices.Equal(fired, want) || len(l.timers) != 0 {
+		t.Errorf("fired %v, want %v", fired, want)
+	}
+}
+
+func TestWaitIsRoundedUp(t *testing.T) {
+	l := newLoop(t)
+	if got := l.timers.next(l.now); got != -1 {
+		t.Errorf("without a timer: %d", got)
+	}
+	var timer Timer
+	for d, want := range map[time.Duration]int{-1: 0, 0: 0, 1: 1, time.Millisecond: 1, 1100 * time.Microsecond: 2} {
+		if l.Arm(&timer, l.now.Add(d)); l.timers.next(l.now) != want {
+			t.Errorf("%v: %d ms, want %d", d, l.timers.next(l.now), want)
+		}
+	}
+}
+
+type sink struct {
+	s    *Socket
+	err  error
+	data []byte
+}
+
+func (k *sink) Ready(Ready) {
+	var buf [64]byte
+	n, err := k.s.Read(buf[:])
+	k.data = append(k.data, buf[:n]...)
+	if err != nil && !errors.Is(err, ErrAgain) && k.err == nil {
+		k.err = err
+		k.s.Want(false, false)
+	}
+}
+
+// A write to a connection that the other end has reset is an error, and no signal ends the process.
+func TestWriteAfterReset(t *testing.T) {
+	l := newLoop(t)
+	var server *sink
+	n, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(s *Socket, _ bool) Handler {
+		server = &sink{s: s}
+		return server
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &sink{}
+	if client.s, err = l.Dial(n.Addr(), client); err != nil {
+		t.Fatal(err)
+	}
+	client.s.Want(true, false)
+	turn := func() {
+		for range 5 {
+			if err := l.Turn(false); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	turn()
+	if _, err := server.s.Write([]byte("hello")); err != nil {
+		t.Fatal(err)
+	}
+	turn()
+	if string(client.data) != "hello" || client.s.Established() != nil {
+		t.Fatalf("got %q", client.data)
+	}
+	server.s.Reset()
+	turn()
+	if client.err == nil || errors.Is(client.err, io.EOF) {
+		t.Errorf("a reset was read as %v", client.err)
+	}
+	for range 3 {
+		_, err = client.s.Write([]byte("x"))
+	}
+	if err == nil {
+		t.Error("a write after the reset went through")
+	}
+	client.s.Close()
+	client.s.Close() // does nothing
+	if n.Close(); l.Open() != 0 {
+		t.Errorf("%d sockets are open", l.Open())
+	}
+}
+
+// When the process is out of descriptors, a connection is still accepted with the one in reserve, told as the
+// last one, and the reserve is taken again.
+func TestOutOfDescriptors(t *testing.T) {
+	l := newLoop(t)
+	last := 0
+	n, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(s *Socket, l bool) Handler {
+		if l {
+			last++
+			s.Close()
+		}
+		return &sink{s: s}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &sink{}
+	if client.s, err = l.Dial(n.Addr(), client); err != nil {
+		t.Fatal(err)
+	}
+	client.s.Want(true, false)
+	var taken []int
+	defer func() {
+		for _, fd := range taken {
+			unix.Close(fd)
+		}
+	}()
+	var old unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &old); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: 64, Max: old.Max}); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = unix.Setrlimit(unix.RLIMIT_NOFILE, &old) }()
+	for {
+		fd, err := unix.Dup(0)
+		if err != nil {
+			break
+		}
+		taken = append(taken, fd)
+	}
+	for range 5 {
+		if err := l.Turn(false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if last != 1 || client.err == nil || n.reserve < 0 {
+		t.Errorf("%d told as the last, the client saw %v, reserve %d", last, client.err, n.reserve)
+	}
+	client.s.Close()
+	n.Close()
+}
+
+// An event that was gathered before its socket closed must not reach the one that took its place.
+func TestStaleEvent(t *testing.T) {
+	l := newLoop(t)
+	pair := func() (int, *sink) {
+		fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		k := &sink{}
+		if k.s, err = l.add(fds[0], k, unix.EPOLLIN); err != nil {
+			t.Fatal(err)
+		}
+		return fds[1], k
+	}
+	farA, a := pair()
+	farB, b := pair()
+	var farC int
+	var c *sink
+	swap := func(from *sink) Handler {
+		return handler(func(Ready) { // whichever comes first closes both and opens another in their place
+			a.s.Close()
+			b.s.Close()
+			if c == nil {
+				farC, c = pair()
+				c.s.SetHandler(handler(func(Ready) { t.Error("it got an event that is not its own") }))
+			}
+		})
+	}
+	a.s.SetHandler(swap(a))
+	b.s.SetHandler(swap(b))
+	for _, fd := range []int{farA, farB} {
+		if _, err := unix.Write(fd, []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.Turn(false); err != nil {
+		t.Fatal(err)
+	}
+	if c == nil {
+		t.Fatal("no event came")
+	}
+	for _, fd := range []int{farA, farB, farC} {
+		unix.Close(fd)
+	}
+	c.s.Close()
+}
+
+type handler func(Ready)
+
+func (h handler) Ready(r Ready) { h(r) }
--- /dev/null
+++ b/internal/proxy/alloc_test.go
@@ -0,0 +1,24 @@
+package proxy
+
+import "testing"
+
+// Memory is scarce and lines are many: passing one on must not allocate.
+func TestNoAllocationPerLine(t *testing.T) {
+	b := newBed(t, 1, false)
+	client, target := b.stands("a")
+	s := b.session()
+	h := s.hop
+	text := []byte("reading 7.25\r\n")
+	step := func() {
+		_, _ = target.sock.Write(text)
+		h.read()
+		_, _ = client.sock.Write(text)
+		s.read()
+	}
+	step() // the client's line arms a timer, once
+	if n := testing.AllocsPerRun(100, step); n > 0 {
+		t.Errorf("%v allocations for a line each way", n)
+	}
+	b.until("all lines", func() bool { return len(client.got) == 102*len(text) && len(target.got) == 102*len(text) })
+	b.over(client)
+}
