--- a/balance/balance.go
+++ b/balance/balance.go
@@ -3,15 +3,18 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 )
 
 const (
-	probeEvery = 3 * time.Second        // t of the paper
-	scanFresh  = 200 * time.Millisecond // a scan younger than this serves further requests
-	reportLag  = time.Second            // how long one report is all that is known of a backend
+	probeEvery  = 3 * time.Second        // t of the paper
+	scanFresh   = 200 * time.Millisecond // a scan younger than this serves further requests
+	reportLag   = time.Second            // how long one report is all that is known of a backend
+	leaveWithin = 3 * time.Second        // own connections are moved off a backend that drains within this...
+	leaveStep   = 200 * time.Millisecond // ...a few at a time
 
 	step        = 5    // A of the paper: a smaller change of a weight is noise
 	fullWeight  = 100  // W of a backend that joins
@@ -46,6 +49,7 @@
 	timerProbe = iota
 	timerRequest
 	timerWatch
+	timerLeave
 	timerBits = 2
 )
 
@@ -82,6 +86,42 @@
 		b.watching, b.broken = true, 0
 	}
 	b.merge(kind, list)
+	if !b.leaving {
+		b.leave(now)
+	}
+}
+
+// leave moves own connections off the backends that drain, evenly over leaveWithin: they would all be cut off
+// at once when these stop, and come back at once. Those of most worth go first, while there is surely time.
+func (b *Balancer) leave(now time.Time) {
+	b.leaving = false
+	for _, k := range b.all {
+		if k.State != Draining {
+			k.empty = time.Time{}
+			continue
+		}
+		b.leaving = true
+		if k.empty.IsZero() {
+			k.empty = now.Add(leaveWithin)
+		}
+		var open []*request
+		for _, r := range k.held {
+			if r.open && !r.moved {
+				open = append(open, r)
+			}
+		}
+		slices.SortStableFunc(open, func(r, than *request) int {
+			return cmp.Compare(b.class(than.Class).Worth, b.class(r.Class).Worth)
+		})
+		steps := max(int(k.empty.Sub(now)/leaveStep), 1)
+		for _, r := range open[:(len(open)+steps-1)/steps] {
+			r.moved = true
+			b.host.Move(r.ID)
+		}
+	}
+	if b.leaving {
+		b.host.After(leaveStep, timerLeave)
+	}
 }
 
 // Request takes a client's request: it is placed at once, or held while no backend may take it.
@@ -425,7 +465,7 @@
 	case settled || r.over:
 		b.forget(r)
 		if o == Cancelled {
-			b.leave(now, r, k) // its packets may come back here
+			b.parted(now, r, k) // its packets may come back here
 		}
 	case b.failing >= commonFail:
 		// A shared store that is slow or a fleet that is full fails everywhere: quick retries and short
@@ -557,6 +597,8 @@
 				budget--
 			}
 		}
+	case timerLeave:
+		b.leave(now)
 	case timerWatch:
 		if b.cfg.Subscribe && !b.watching {
 			b.watch()
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"strconv"
 	"testing"
 	"time"
@@ -530,3 +531,58 @@
 		t.Fatal("no timer was set")
 	}
 }
+
+// A client must be told to move before its backend leaves: what stands on a backend that drains is moved, each
+// connection once, a few at a time, and nothing is moved off the others.
+func TestDrainingBackendIsEmptied(t *testing.T) {
+	cfg := config()
+	cfg.Classes = []Class{{Aim: 500 * ms, Worth: 1}, {Aim: 500 * ms, Worth: 3}}
+	s := start(t, cfg, 1, 2)
+	for id := RequestID(1); id <= 12; id++ {
+		q := ask(id)
+		q.Class = int(id % 2)
+		s.b.Open(s.now, q, "b"+strconv.Itoa(int(id%3)/2))
+	}
+	s.take()
+	s.b.Members(s.now, ListPatch, []Backend{{ID: "b0", Zone: "here", State: Draining}})
+	moved, most, lasted := map[RequestID]bool{}, 0, time.Duration(0)
+	step := func() (timers int) {
+		n := 0
+		for _, a := range s.take() {
+			switch {
+			case a.what == "move":
+				if moved[a.id] || a.id%3 == 2 {
+					t.Fatalf("moved %d", a.id)
+				}
+				if len(moved) < 4 && a.id%2 != 1 {
+					t.Errorf("%d of the lesser worth went early", a.id)
+				}
+				n++
+				moved[a.id], s.sends[a.id] = true, 1
+			case a.what == "after" && a.token == timerLeave:
+				timers++
+			}
+		}
+		most = max(most, n)
+		return timers
+	}
+	for len(moved) < 8 && lasted < 2*leaveWithin {
+		if n := step(); n != 1 {
+			t.Fatalf("%d timers at once", n)
+		}
+		s.now, lasted = s.now.Add(leaveStep), lasted+leaveStep
+		s.b.Timer(s.now, timerLeave)
+	}
+	if len(moved) != 8 || most > 2 || lasted > leaveWithin+leaveStep {
+		t.Errorf("%d moved in %v, up to %d at once", len(moved), lasted, most)
+	}
+	for id := range moved {
+		s.b.Finished(s.now, id, 0, true, Cancelled, load(math.NaN()))
+	}
+	s.b.Members(s.now, ListPatch, []Backend{{ID: "b0", State: Gone}})
+	s.take()
+	s.b.Timer(s.now.Add(leaveStep), timerLeave)
+	if n := step(); n != 0 {
+		t.Errorf("%d timers with nothing that drains", n)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -25,6 +25,7 @@
 	relief  time.Time // connections were last moved away then
 	strikes int       // failures in a row
 	until   time.Time // ejected until then
+	empty   time.Time // it drains, and own connections are to be off it by then; zero: it does not
 }
 
 // request is one that this relay holds, from its arrival to the end of its last attempt.
@@ -72,6 +73,7 @@
 	tenants  []int               // own connections of each tenant
 	left     map[string]*backend // by key: where connections are whose packets go elsewhere
 	cleared  time.Time           // left was last emptied then
+	leaving  bool                // a timer for backends that drain is set
 	watching bool
 	broken   int // questions to discovery that failed, in a row
 }
@@ -214,8 +216,8 @@
 	return false
 }
 
-// leave keeps in mind for a while where a connection is whose packets go elsewhere.
-func (b *Balancer) leave(now time.Time, r *request, k *backend) {
+// parted keeps in mind for a while where a connection is whose packets go elsewhere.
+func (b *Balancer) parted(now time.Time, r *request, k *backend) {
 	if b.cfg.Park <= 0 || r.Key == "" {
 		return
 	}
