--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -44,7 +44,11 @@
 	h.timer.Fire = h.due
 	sock, err := f.loop.Dial(to.Addr, h)
 	if err != nil {
-		s.x.Ended(balance.NoConnect, noReport)
+		o := balance.NoConnect
+		if errors.Is(err, poll.ErrNoSocket) { // else a shortage here would eject a target that is well
+			o = balance.NotSent
+		}
+		s.x.Ended(o, noReport)
 		return
 	}
 	h.link.sock = sock
--- a/internal/proxy/lines.go
+++ b/internal/proxy/lines.go
@@ -52,6 +52,8 @@
 	openingWait = 30 * time.Second
 	// lingerWait is how long a connection that has its last line may take to end.
 	lingerWait = time.Second
+	// flushWait is the same for one that is slow to read: cut off before its last line it would be lost.
+	flushWait = 5 * time.Second
 )
 
 func (f *Lines) accept(sock *poll.Socket, last bool) poll.Handler {
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -235,11 +235,14 @@
 	}
 	s.link.deaf = false
 	s.link.finish()
-	if s.link.ended {
+	switch {
+	case len(s.link.out) > 0:
+		s.front.loop.After(&s.timer, flushWait)
+	case s.link.ended:
 		s.front.loop.After(&s.timer, lingerWait/4)
-		return
+	default:
+		s.front.loop.After(&s.timer, lingerWait)
 	}
-	s.front.loop.After(&s.timer, lingerWait)
 }
 
 // abandon ends a standing connection politely on both sides.
