--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -12,18 +12,22 @@
 // peer is what the front keeps of an egress target: the connection for probes, which is used again until it has
 // been idle for as long as the settings say, and what was last told of messages there.
 type peer struct {
-	front *Lines
-	id    string
-	to    *routes.Target
-	link  link
-	state probeState
-	used  bool // the connection has answered a probe
-	timer poll.Timer
-	heard time.Time // its last sign of life, on any connection
-	told  time.Time // the last note on slow messages
-	slow  bool
+	front  *Lines
+	id     string
+	to     *routes.Target
+	link   link
+	state  probeState
+	used   bool // the connection has answered a probe
+	timer  poll.Timer
+	heard  time.Time // its last sign of life, on any connection
+	told   time.Time // the last note on slow messages
+	slow   bool
+	silent bool // its clients are being moved for that; logged once
 }
 
+// sign takes a sign of life.
+func (p *peer) sign(now time.Time) { p.heard, p.silent = now, false }
+
 type probeState uint8
 
 const (
@@ -148,7 +152,7 @@
 		}
 		return
 	}
-	p.heard = p.front.loop.Now()
+	p.sign(p.front.loop.Now())
 	rep, o := noReport, balance.OK
 	if word == line.Err {
 		o = balance.Error
--- a/internal/proxy/standing.go
+++ b/internal/proxy/standing.go
@@ -49,7 +49,7 @@
 		return
 	}
 	h.heard = s.front.loop.Now()
-	h.peer.heard = h.heard
+	h.peer.sign(h.heard)
 	for rest := lines; len(rest) > 0; {
 		var first []byte
 		first, rest = line.Next(rest)
@@ -112,6 +112,10 @@
 	late := now.Sub(h.check) > lateCheck
 	if !late && h.heard.Before(h.asked) && (took >= silentLast || took >= silentAfter && h.peer.heard.Before(h.asked)) {
 		f.count.Silent++
+		if !h.peer.silent {
+			h.peer.silent = true
+			f.log.Printf("egress target %s: silent for %v; its clients are moved", h.peer.id, took.Round(time.Millisecond))
+		}
 		h.s.abandon(balance.Broken)
 		return
 	}
