--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -219,6 +219,9 @@
 	e.push(event{kind: evList, list: kind, entries: backends(l.Hosts)})
 	for _, id := range stopped {
 		e.recall(id)
+		if e.table.Find(id) == nil {
+			e.prober.Forget(id)
+		}
 	}
 }
 
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -344,6 +344,13 @@
 	if got[0].outcome != balance.TimedOut || b.front.peers["s0"].link.sock != nil {
 		t.Errorf("%+v", got[0])
 	}
+	// What is kept for a target goes with it, and a probe that is out still has an end.
+	got = nil
+	b.front.Probe(to)
+	b.engine.news(&routes.List{Hosts: []*routes.Target{{ID: "s0", Health: routes.Deleted}}}, nil)
+	if answered(); len(got) != 1 || got[0].outcome != balance.NoConnect || len(b.front.peers) != 0 {
+		t.Errorf("%+v, %d peers", got, len(b.front.peers))
+	}
 }
 
 // A target that refuses connections costs a hop that never ran; the request goes elsewhere.
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -30,6 +30,8 @@
 // Prober asks an egress target for its load report and tells Engine.Probed, once for each call.
 type Prober interface {
 	Probe(to *routes.Target)
+	// Forget lets go of what is kept for a target that is gone.
+	Forget(id string)
 }
 
 // Offer is what a front tells of a new exchange.
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -65,6 +65,21 @@
 	// Otherwise a probe is out, and its answer serves for this one: the module asks once at a time.
 }
 
+// Forget gives back what is kept of a target that is gone: over months of machines that come and go the table
+// would only grow. A probe that is out ends with that.
+func (f *Lines) Forget(id string) {
+	p := f.peers[id]
+	if p == nil {
+		return
+	}
+	delete(f.peers, id)
+	if p.state == probeDialing || p.state == probeAsking {
+		p.failed(balance.NoConnect)
+		return
+	}
+	p.hangUp()
+}
+
 func (p *peer) dial() {
 	sock, err := p.front.loop.Dial(p.to.Addr, p)
 	if err != nil {
