--- a/cmd/ospreyspan/config.go
+++ b/cmd/ospreyspan/config.go
@@ -44,6 +44,21 @@
 // loadConfig reads the configuration that the environment names. What the environment itself says of the
 // addresses goes first.
 func loadConfig(env func(string) string) (*config, error) {
+	return readConfig(env)
+}
+
+// reloadConfig reads the file again for a program that serves. EDGE_DISCOVERY tells where discovery was at the
+// start: the file is what has been replaced, so its address wins now.
+func reloadConfig(env func(string) string) (*config, error) {
+	return readConfig(func(name string) string {
+		if name == "EDGE_DISCOVERY" {
+			return ""
+		}
+		return env(name)
+	})
+}
+
+func readConfig(env func(string) string) (*config, error) {
 	path := env("EDGE_CONFIG")
 	if path == "" {
 		return nil, errors.New("EDGE_CONFIG: not set")
--- a/cmd/ospreyspan/config_test.go
+++ b/cmd/ospreyspan/config_test.go
@@ -64,3 +64,35 @@
 		}
 	}
 }
+
+// EDGE_DISCOVERY goes before the file at the start; on a reload the file is the news. One that is cut off or
+// wrong is an error, and the caller keeps what it has.
+func TestReloadConfig(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(name string) string {
+		return map[string]string{
+			"EDGE_CONFIG": path, "EDGE_DISCOVERY": "127.0.0.7:7", "EDGE_LISTEN": "127.0.0.9:1", "EDGE_NAME": "n7",
+		}[name]
+	}
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(example(t))
+	c, err := loadConfig(env)
+	if err != nil || c.Discovery.String() != "127.0.0.7:7" {
+		t.Fatalf("at the start: %+v, %v", c, err)
+	}
+	c, err = reloadConfig(env)
+	if err != nil || c.Discovery.String() != "127.0.0.1:18500" || c.Listen.String() != "127.0.0.9:1" || c.Name != "n7" {
+		t.Fatalf("on a reload: %+v, %v", c, err)
+	}
+	for _, bad := range []string{"", example(t)[:200], strings.Replace(example(t), "127.0.0.1:18500", "nowhere", 1)} {
+		write(bad)
+		if _, err := reloadConfig(env); err == nil {
+			t.Errorf("taken: %q", bad)
+		}
+	}
+}
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -75,6 +75,12 @@
 	return e, nil
 }
 
+// SetDiscovery moves the watch to another address of discovery. The route table stays until that one answers.
+func (e *Engine) SetDiscovery(at netip.AddrPort) {
+	e.count.Reloads++
+	e.watch.Point(at)
+}
+
 // Pending tells whether events wait for Deliver: the loop must not sleep then.
 func (e *Engine) Pending() bool { return len(e.events) > 0 || len(e.actions) > 0 }
 
--- a/internal/proxy/lines.go
+++ b/internal/proxy/lines.go
@@ -43,6 +43,9 @@
 	return err
 }
 
+// SetSockets changes how many descriptors the process may hold.
+func (f *Lines) SetSockets(n int) { f.sockets = n }
+
 const (
 	// spareSockets stay free for hops, probes and discovery when clients take all others.
 	spareSockets = 48
--- /dev/null
+++ b/internal/proxy/reload_test.go
@@ -0,0 +1,145 @@
+package proxy
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreyspan/internal/poll"
+	"ospreyspan/internal/routes"
+)
+
+// discovery is one address at which a test answers the watch itself.
+type discovery struct {
+	b     *bed
+	l     *poll.Listener
+	calls []*end
+}
+
+func newDiscovery(b *bed) *discovery {
+	b.t.Helper()
+	d := &discovery{b: b}
+	var err error
+	d.l, err = b.loop.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(s *poll.Socket, _ bool) poll.Handler {
+		e := &end{sock: s}
+		d.calls = append(d.calls, e)
+		return e
+	})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return d
+}
+
+// asked waits for a call on the n-th connection and returns its first line.
+func (d *discovery) asked(n int) string {
+	d.b.t.Helper()
+	d.b.until("a call", func() bool {
+		return len(d.calls) > n && bytes.Contains(d.calls[n].got, []byte("\r\n\r\n"))
+	})
+	first, _, _ := strings.Cut(string(d.calls[n].got), "\r\n")
+	d.calls[n].got = nil
+	return first
+}
+
+func (d *discovery) answer(n int, body string) {
+	d.b.t.Helper()
+	d.calls[n].say(d.b.t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	d.b.settle()
+}
+
+// close takes the address away with all its connections.
+func (d *discovery) close() {
+	d.l.Close()
+	for _, c := range d.calls {
+		c.sock.Close()
+	}
+}
+
+// watchAt has the bed's engine watch an address as after its start.
+func (b *bed) watchAt(at netip.AddrPort) {
+	b.engine.watch = routes.NewWatch(b.loop, at, 7, rand.New(rand.NewPCG(1, 1)), &b.count.Watches, b.engine.news)
+	b.engine.watch.Start()
+}
+
+// A replaced configuration names another address of discovery: it is asked at once, for the whole list, and
+// what the old one still says, even half an answer, counts no more. Standing connections go on.
+func TestReload(t *testing.T) {
+	b := newBed(t, 1, false)
+	client, target := b.stands("a")
+	first, second, third := newDiscovery(b), newDiscovery(b), newDiscovery(b)
+	b.watchAt(first.l.Addr())
+	if got := first.asked(0); !strings.HasPrefix(got, "GET /registry/instances?index=7&") {
+		t.Fatalf("asked %q", got)
+	}
+	gone := `{"seq":8,"whole":false,"hosts":[{"host":"s0","health":"DELETED"}]}`
+	first.calls[0].say(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(gone), gone[:20]))
+	b.settle()
+	first.calls[0].say(t, gone[20:]) // it is in the socket when the address changes
+	b.engine.SetDiscovery(second.l.Addr())
+	b.engine.SetDiscovery(third.l.Addr()) // twice in a row: the last one counts
+	if got := third.asked(0); got != "GET /registry/instances HTTP/1.1" {
+		t.Errorf("asked %q", got)
+	}
+	if b.engine.table.Find("s0") == nil {
+		t.Error("an answer from the old address counted")
+	}
+	b.until("the old connections closed", func() bool {
+		return (first.calls[0].eof || first.calls[0].reset) && (len(second.calls) == 0 || second.calls[0].eof || second.calls[0].reset)
+	})
+	third.answer(0, fmt.Sprintf(`{"seq":3,"whole":true,"hosts":[{"host":"s0","dial":%q,"health":"SERVING"}]}`, b.servers[0].Addr()))
+	if got := third.asked(0); !strings.HasPrefix(got, "GET /registry/instances?index=3&") {
+		t.Errorf("then asked %q", got)
+	}
+	b.engine.SetDiscovery(third.l.Addr()) // the same again: the watch that is out goes on
+	client.say(t, "reading\r\n")
+	target.say(t, "fine\r\n")
+	b.until("lines both ways", func() bool { return string(client.got) == "fine\r\n" && string(target.got) == "reading\r\n" })
+	if len(third.calls) != 1 || b.count.Standing != 1 || b.count.Reloads != 3 {
+		t.Errorf("%d connections, %+v", len(third.calls), b.count)
+	}
+	b.engine.watch.Stop()
+	for _, d := range []*discovery{first, second, third} {
+		d.close()
+	}
+	b.over(client)
+}
+
+// A new address that is down at first is tried again soon, however long the old one had failed before: its news
+// counts as told 4 s after the reload. The same holds in a planned stop.
+func TestReloadWithDiscoveryDown(t *testing.T) {
+	b := newBed(t, 1, false)
+	d := newDiscovery(b)
+	down := newDiscovery(b)
+	addr := down.l.Addr()
+	down.l.Close()
+	b.watchAt(addr)
+	b.until("failures", func() bool { return b.count.WatchesFailed >= 3 })
+	b.front.set.Waits = []time.Duration{3 * time.Second}
+	b.front.Drain(func() {})
+	free := d.l.Addr()
+	d.l.Close()
+	begin := time.Now()
+	b.engine.SetDiscovery(free)
+	failed := b.count.WatchesFailed
+	b.until("retries at the new address", func() bool { return b.count.WatchesFailed >= failed+5 })
+	if took := time.Since(begin); took > 2*time.Second { // with pauses that grow, or go on from the old, over 3 s
+		t.Errorf("5 tries took %v", took)
+	}
+	var err error
+	if d.l, err = b.loop.Listen(free, func(s *poll.Socket, _ bool) poll.Handler {
+		e := &end{sock: s}
+		d.calls = append(d.calls, e)
+		return e
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if got := d.asked(0); got != "GET /registry/instances HTTP/1.1" {
+		t.Errorf("asked %q", got)
+	}
+	b.engine.watch.Stop()
+}
--- a/internal/routes/http.go
+++ b/internal/routes/http.go
@@ -133,7 +133,10 @@
 	}
 }
 
-// appendCall appends the call of a watch.
+// appendCall appends the call of a watch, or without a version to go on from, a call for the whole list.
 func appendCall(dst []byte, host string, seq int64, waitMS int64) []byte {
+	if seq < 0 {
+		return fmt.Appendf(dst, "GET /registry/instances HTTP/1.1\r\nHost: %s\r\n\r\n", host)
+	}
 	return fmt.Appendf(dst, "GET /registry/instances?index=%d&wait=%d HTTP/1.1\r\nHost: %s\r\n\r\n", seq, waitMS, host)
 }
--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -20,6 +20,11 @@
 	// All proxies lose discovery together, which takes a few calls a second: their retries are drawn apart.
 	retryFrom = 250 * time.Millisecond
 	retryMost = 2 * time.Second
+	// A new address counts as having told all its news 4 s after it was given, reached or not: for so long the
+	// pauses between tries don't grow.
+	hurryFor = 4 * time.Second
+	// fromNothing asks for the whole list.
+	fromNothing = -1
 )
 
 // Watch keeps a watch on discovery: the next call follows each answer at once, on the same connection where
@@ -35,9 +40,10 @@
 	out   []byte
 	in    []byte
 	state watchState
-	again bool // the connection has answered a call before
-	tries int  // calls that failed in a row
-	calls *int // counts them
+	again bool      // the connection has answered a call before
+	tries int       // calls that failed in a row
+	hurry time.Time // until then the pauses stay short
+	calls *int      // counts them
 }
 
 type watchState uint8
@@ -66,6 +72,22 @@
 	}
 }
 
+// Point moves the watch to another address, at once. Nothing that the old one may still say counts: its
+// connection goes, and what was read of an answer with it. The new one's versions need not continue the old
+// one's, so that it is asked for the whole list first. The address that it has already is only tried anew.
+func (w *Watch) Point(to netip.AddrPort) {
+	w.hurry, w.tries = w.loop.Now().Add(hurryFor), 0
+	if to != w.addr {
+		w.hangUp()
+		w.addr, w.seq = to, fromNothing
+	} else if w.state != watchResting {
+		return
+	}
+	if w.state != watchOff {
+		w.call()
+	}
+}
+
 // Stop ends the watch.
 func (w *Watch) Stop() {
 	w.hangUp()
@@ -194,6 +216,9 @@
 	w.hangUp()
 	w.state = watchResting
 	rest := min(retryFrom<<min(w.tries, 8), retryMost)
+	if w.loop.Now().Before(w.hurry) {
+		rest = retryFrom
+	}
 	w.tries++
 	w.loop.After(&w.timer, time.Duration(float64(rest)*(0.5+w.rng.Float64())))
 	w.news(nil, err)
