Bad clients get ERR at the proxy and never reach a target; idle ones make room

A trace of the first lines and of the targets' answers showed all of these requests answered ERR: unknown classes (readings2, status-old, ...), ids of open requests, many commands at once, d=. Each ERR ejected a sound target for 3 s and more at the module, and the usual clients found no place.

At fault: Engine.add gave an unknown class to the module as -1; no table of ids in use; line.ParseOpen took any figure that ParseFloat takes; session.early kept what came before the answer; openingWait was 30 s; SYNTAX is no error word; accept turned clients away while connections without a request kept their descriptors; a log line for each such client. Also: Adopt began its hop before the session held its exchange, so that a dial which fails at once ended the process; peer.dial told a shortage of descriptors as NoConnect, and Probed took a probe that was not sent for one that was missed; a probe to a target that moved was answered by the old address; UP without its receipt passed for an answer.

Checked: usual clients send d=4798 and 1798, under their classes' limits, and d=4294967 with at=: neither is refused.

Conclusion: what a client sends must be judged before it can speak for or against a target.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -514,7 +514,9 @@
 	if k == nil {
 		return
 	}
-	k.asked, k.missed = false, o != OK
+	if k.asked = false; o != NotSent { // a shortage at the host tells nothing of the backend
+		k.missed = o != OK
+	}
 	if o == OK {
 		k.seen, k.fresh = now, 0 // also if it tells no load: the bar must not shut out what it cannot judge
 		b.report(k, rep)
--- a/balance/state.go
+++ b/balance/state.go
@@ -115,6 +115,15 @@
 	b.hold(r, k)
 }
 
+// Held tells how many own connections and attempts a backend has by the relay's count, for a host that compares
+// it with its sockets.
+func (b *Balancer) Held(id string) int {
+	if k := b.byID[id]; k != nil {
+		return len(k.held)
+	}
+	return 0
+}
+
 // class returns what is known of a class; one that is unknown is treated with the most care.
 func (b *Balancer) class(i int) Class {
 	if i < 0 || i >= len(b.cfg.Classes) {
--- a/balance/troubles_test.go
+++ b/balance/troubles_test.go
@@ -548,6 +548,26 @@
 	}
 }
 
+// A probe that the host could not send, for want of a descriptor, says nothing: the backend stays in use.
+func TestUnsentProbes(t *testing.T) {
+	s := start(t, config(), 1, 2)
+	for id := RequestID(1); id <= 20; id++ {
+		s.now = s.now.Add(sec)
+		s.b.Request(s.now, ask(id))
+		for _, a := range s.take() {
+			switch {
+			case a.what == "probe" && a.backend == "b0":
+				s.b.Probed(s.now, a.backend, NotSent, load(math.NaN()))
+			case a.what == "probe":
+				s.b.Probed(s.now, a.backend, OK, load(0.7))
+			}
+		}
+	}
+	if s.b.Held("b0")+s.b.Held("b1") != 20 || s.b.Held("b0") < 5 {
+		t.Errorf("b0 has %d, b1 %d", s.b.Held("b0"), s.b.Held("b1"))
+	}
+}
+
 // Near saturation what is worth less than most is held while the rest is placed; on an idle fleet nothing is.
 func TestWorthLessWaits(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -57,12 +57,33 @@
 	after   string
 }
 
-// maxWait keeps a figure that no client means from overflowing.
-const maxWait = time.Hour
+// longestWait is longer than any client waits: a figure above it is a fault, and one far above would overflow.
+const longestWait = 24 * time.Hour
+
+// parseWait reads the figure of d: plain digits, perhaps with a fraction. Signs, exponents and words such as
+// NaN are no time that a client can wait.
+func parseWait(value []byte) (time.Duration, bool) {
+	for _, c := range value {
+		if (c < '0' || c > '9') && c != '.' {
+			return 0, false
+		}
+	}
+	ms, err := strconv.ParseFloat(string(value), 64)
+	if err != nil || ms > float64(longestWait/time.Millisecond) {
+		return 0, false
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
 
-// ParseOpen reads the first line of a client, without its end.
+// ParseOpen reads the first line of a client, without its end. It is strict: what an egress target could not
+// read would be answered there with an error, for which the target is not to blame.
 func ParseOpen(text []byte) (Open, error) {
 	var o Open
+	for _, c := range text {
+		if c < ' ' || c > '~' {
+			return o, ErrSyntax
+		}
+	}
 	s := string(text)
 	parts := bytes.Split(text, []byte(" "))
 	if len(parts) != 4 || string(parts[0]) != "OPEN" || len(parts[1]) == 0 || len(parts[2]) == 0 {
@@ -77,6 +98,9 @@
 		}
 		switch string(name) {
 		case "c":
+			if o.Class != "" {
+				return o, ErrSyntax
+			}
 			o.Class = string(value)
 		case "g":
 			o.Group = string(value)
@@ -85,11 +109,11 @@
 		case "again":
 			o.Again = string(value) == "1"
 		case "d":
-			ms, err := strconv.ParseFloat(string(value), 64)
-			if err != nil || !(ms >= 0) || math.IsInf(ms, 0) || o.before != "" {
+			wait, ok := parseWait(value)
+			if !ok || o.before != "" {
 				return o, ErrSyntax
 			}
-			o.Wait = time.Duration(min(ms, float64(maxWait/time.Millisecond)) * float64(time.Millisecond))
+			o.Wait = wait
 			o.before, o.after = s[:at+len("d=")], s[at+len(pair):]
 		}
 		at += len(pair) + 1
--- a/internal/poll/listener.go
+++ b/internal/poll/listener.go
@@ -16,6 +16,10 @@
 	accept  func(s *Socket, last bool) Handler
 }
 
+// receiveBuffer bounds what the kernel keeps of a connection that is not read: some clients send megabytes, and
+// the kernel would let each of hundreds have as much.
+const receiveBuffer = 32 << 10
+
 // Listen accepts connections at an address. accept gets each and returns its handler; last tells that the
 // descriptors are used up: the connection must be answered and closed before accept returns.
 func (l *Loop) Listen(at netip.AddrPort, accept func(s *Socket, last bool) Handler) (*Listener, error) {
@@ -24,6 +28,9 @@
 		return nil, fmt.Errorf("socket: %w", err)
 	}
 	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err == nil { // inherited by what is accepted
+		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+	}
 	if err == nil {
 		err = unix.Bind(fd, sockaddr(at))
 	}
--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -56,6 +56,7 @@
 	acProbe
 	acWatch
 	acAfter
+	acAdopt // the engine's own: first hop of a connection from before the start
 )
 
 // action is something that the module asked for.
@@ -154,6 +155,10 @@
 		}
 	case acWatch:
 		e.watch.Start()
+	case acAdopt:
+		if x != nil && !x.answered {
+			e.tryAdopt(x)
+		}
 	case acAfter:
 		t, token := &poll.Timer{}, a.token
 		t.Fire = func() { e.push(event{kind: evTimer, token: token}) }
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"log"
 	"math/rand/v2"
@@ -25,6 +26,10 @@
 	answerPart   = 8
 	// adoptRest lies between two tries to take up a connection that was open before the start.
 	adoptRest = 100 * time.Millisecond
+	// adoptMost is how long such a connection may take to stand again, by the protocol; adoptUnknown is how long
+	// the route table may take to name its target.
+	adoptMost    = 40 * time.Second
+	adoptUnknown = 2 * time.Second
 )
 
 // Engine drives the module. All of it runs on the loop.
@@ -38,6 +43,7 @@
 	count     *stats.Counters
 	log       *log.Logger
 	exchanges map[balance.RequestID]*Exchange
+	ids       map[string]struct{} // the clients' own ids of these
 	last      balance.RequestID
 	events    []event
 	handed    []event // the other half of events' double buffer
@@ -61,7 +67,7 @@
 func NewEngine(c EngineConfig) (*Engine, error) {
 	e := &Engine{
 		loop: c.Loop, set: c.Settings, count: c.Count, log: c.Log,
-		exchanges: make(map[balance.RequestID]*Exchange),
+		exchanges: make(map[balance.RequestID]*Exchange), ids: make(map[string]struct{}),
 	}
 	module, err := balance.New(c.Settings.Config, c.Seed, (*host)(e))
 	if err != nil {
@@ -84,30 +90,56 @@
 // Pending tells whether events wait for Deliver: the loop must not sleep then.
 func (e *Engine) Pending() bool { return len(e.events) > 0 || len(e.actions) > 0 }
 
+// Why a request is not taken. It never gets as far as the module then: an egress target that is sent such a
+// thing answers with an error, and a sound one would be ejected for what a client did.
+var (
+	ErrClass = errors.New("proxy: unknown class")
+	ErrInUse = errors.New("proxy: the id of an exchange that is open")
+)
+
 // Take takes a client's request.
-func (e *Engine) Take(c Client, o Offer) *Exchange {
-	x := e.add(c, o)
+func (e *Engine) Take(c Client, o Offer) (*Exchange, error) {
+	if class, ok := e.set.Classes[o.Class]; ok && e.set.Waits[class] > 0 {
+		o.Wait = min(o.Wait, e.set.Waits[class]) // no client of the class waits longer, whatever it says
+	}
+	x, err := e.add(c, o)
+	if err != nil {
+		return nil, err
+	}
 	e.push(event{kind: evRequest, x: x, request: x.request})
-	return x
+	return x, nil
 }
 
 // Adopt takes a connection that an egress target holds since before the start. The module hears of it once it
 // stands; no other target can take it.
-func (e *Engine) Adopt(c Client, o Offer, id string) *Exchange {
-	x := e.add(c, o)
+func (e *Engine) Adopt(c Client, o Offer, id string) (*Exchange, error) {
+	if o.Wait = min(o.Wait, adoptMost); e.table.Find(id) == nil {
+		o.Wait = min(o.Wait, adoptUnknown)
+	}
+	x, err := e.add(c, o)
+	if err != nil {
+		return nil, err
+	}
+	// The hop starts with the others: one that fails at once must find the caller holding its exchange.
 	x.adopt = id
-	e.tryAdopt(x)
-	return x
+	e.actions = append(e.actions, action{kind: acAdopt, id: x.id})
+	return x, nil
 }
 
-func (e *Engine) add(c Client, o Offer) *Exchange {
-	e.last++
-	e.count.Exchanges++
+func (e *Engine) add(c Client, o Offer) (*Exchange, error) {
 	class, ok := e.set.Classes[o.Class]
 	if !ok {
-		class = -1
+		return nil, ErrClass
+	}
+	if _, open := e.ids[o.ID]; open {
+		return nil, ErrInUse
 	}
-	x := &Exchange{id: e.last, engine: e, client: c, deadline: e.loop.Now().Add(o.Wait)}
+	if o.ID != "" {
+		e.ids[o.ID] = struct{}{}
+	}
+	e.last++
+	e.count.Exchanges++
+	x := &Exchange{id: e.last, name: o.ID, engine: e, client: c, deadline: e.loop.Now().Add(o.Wait)}
 	x.request = balance.Request{
 		ID: x.id, Class: class, Tenant: -1, Key: o.Key, Again: o.Again,
 		Left: o.Wait - margin(o.Wait),
@@ -118,7 +150,7 @@
 	e.exchanges[x.id] = x
 	x.timer.Fire = func() { e.overdue(x) }
 	e.loop.Arm(&x.timer, x.deadline.Add(-margin(o.Wait)/2))
-	return x
+	return x, nil
 }
 
 // margin is the part of a client's wait that is kept for the answer's way. The module may use what is before
@@ -130,6 +162,7 @@
 func (e *Engine) release(x *Exchange) {
 	e.loop.Disarm(&x.timer)
 	delete(e.exchanges, x.id)
+	delete(e.ids, x.name)
 }
 
 // overdue answers a client whose time is nearly up. The module's own time ends earlier, so that this is the
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -36,6 +36,7 @@
 
 // Offer is what a front tells of a new exchange.
 type Offer struct {
+	ID                string // the client's own name for it, new for each; empty: the protocol has none
 	Class, Key, Group string
 	Wait              time.Duration // until the client gives up
 	Again             bool          // its last connection was moved or broke
@@ -44,6 +45,7 @@
 // Exchange is one request of a client, from its arrival to the end of its last hop or standing connection.
 type Exchange struct {
 	id       balance.RequestID
+	name     string // the client's id of it
 	engine   *Engine
 	client   Client
 	request  balance.Request
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -42,13 +42,10 @@
 	f := s.front
 	h := &hop{s: s, peer: f.peer(to), until: f.loop.Now().Add(wait)}
 	h.timer.Fire = h.due
+	f.room(hopSockets)
 	sock, err := f.loop.Dial(to.Addr, h)
 	if err != nil {
-		o := balance.NoConnect
-		if errors.Is(err, poll.ErrNoSocket) { // else a shortage here would eject a target that is well
-			o = balance.NotSent
-		}
-		s.x.Ended(o, noReport)
+		s.x.Ended(dialOutcome(err), noReport)
 		return
 	}
 	h.link.sock = sock
@@ -56,6 +53,15 @@
 	f.loop.After(&h.timer, min(wait, f.set.DialTimeout))
 }
 
+// dialOutcome is what a connection that could not even be begun tells of its target: nothing, if the shortage
+// is here, else a target that is well would be ejected.
+func dialOutcome(err error) balance.Outcome {
+	if errors.Is(err, poll.ErrNoSocket) {
+		return balance.NotSent
+	}
+	return balance.NoConnect
+}
+
 // end gives back the hop's timer; its link is closed or reset by whoever ends the hop.
 func (h *hop) end() {
 	h.s.front.loop.Disarm(&h.timer)
@@ -122,7 +128,7 @@
 			h.answer(lines)
 		}
 	case errors.Is(err, line.ErrTooLong):
-		h.s.front.log.Printf("egress target %s: line over 4096 bytes; closed", h.peer.id)
+		h.peer.complain("line over 4096 bytes", nil)
 		if h.state == hopStanding {
 			h.s.abandon(balance.Broken)
 		} else {
@@ -140,6 +146,9 @@
 	first, more := line.Next(lines)
 	text := line.Text(first)
 	word, rest := line.ParseWord(text)
+	if word == line.Up && len(rest) == 0 { // without its receipt it is not the target's word
+		word = line.Other
+	}
 	switch word {
 	case line.Up:
 		h.up(first, more)
@@ -155,7 +164,7 @@
 		h.over(balance.Full, h.report(rest))
 	default:
 		if word != line.Err {
-			h.s.front.log.Printf("egress target %s: unknown answer %.40q", h.peer.id, text)
+			h.peer.complain("unknown answer", text)
 		}
 		h.over(balance.Error, h.report(rest))
 	}
@@ -178,11 +187,6 @@
 	if len(more) > 0 {
 		h.pass(more)
 	}
-	if s.state == standing && len(s.link.rest) > 0 { // lines that the client sent before its answer
-		whole, rest, _ := line.Whole(s.link.rest)
-		s.link.rest = append([]byte(nil), rest...)
-		s.pass(whole)
-	}
 }
 
 func (h *hop) report(text []byte) balance.Report {
--- a/internal/proxy/lines.go
+++ b/internal/proxy/lines.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"container/list"
 	"log"
 	"net/netip"
 	"time"
 
+	"ospreyspan/internal/line"
 	"ospreyspan/internal/poll"
 	"ospreyspan/internal/settings"
 	"ospreyspan/internal/stats"
@@ -20,6 +22,7 @@
 	listener *poll.Listener
 	sockets  int // descriptors that the process may hold
 	sessions map[*session]struct{}
+	spare    list.List // sessions to which nothing is owed: before their request or after their last line; oldest first
 	peers    map[string]*peer
 	scratch  []byte
 	line     []byte
@@ -47,12 +50,21 @@
 func (f *Lines) SetSockets(n int) { f.sockets = n }
 
 const (
-	// spareSockets stay free for hops, probes and discovery when clients take all others.
+	// spareSockets stay free for hops, probes and discovery when clients take all others; hopSockets of these
+	// for probes and discovery when hops take the rest.
 	spareSockets = 48
+	hopSockets   = 24
 	// fullAdvice is when a client may come again that found no descriptor.
 	fullAdvice = time.Second
-	// openingWait is how long a connection may stay without its first line.
-	openingWait = 30 * time.Second
+	// openingWait is how long a connection may stay without its request. A usual client sends it at once; all
+	// others are owed an answer within 3 s of connecting, part of which they may wait to be accepted.
+	openingWait = 2 * time.Second
+	// openingLines is how many lines, such as PING, it may send before that.
+	openingLines = 8
+	// openingRead is what is read of it in a turn: more than a longest line.
+	openingRead = 2 * line.Max
+	// spillMost is what is read and dropped of a client that has its last line.
+	spillMost = 64 << 10
 	// lingerWait is how long a connection that has its last line may take to end.
 	lingerWait = time.Second
 	// flushWait is the same for one that is slow to read: cut off before its last line it would be lost.
@@ -64,21 +76,53 @@
 	s := &session{front: f, link: link{sock: sock}}
 	s.timer.Fire = s.due
 	f.sessions[s] = struct{}{}
-	if last || f.sockets > 0 && f.loop.Open()+spareSockets > f.sockets {
+	if last || !f.room(spareSockets) {
 		f.turnAway(s)
 		return s
 	}
 	f.loop.After(&s.timer, openingWait)
+	f.expendable(s)
 	return s
 }
 
+// room tells whether so many descriptors are free. Where they are not, connections to which nothing is owed are
+// ended, the oldest first: hundreds that say nothing must not keep out the client that has a request.
+func (f *Lines) room(want int) bool {
+	for f.sockets > 0 && f.loop.Open()+want > f.sockets {
+		oldest := f.spare.Front()
+		if oldest == nil {
+			return false
+		}
+		f.turnAway(oldest.Value.(*session))
+	}
+	return true
+}
+
+// expendable puts a session at the end of the list of those that may be cut off; keep takes it out.
+func (f *Lines) expendable(s *session) {
+	if s.spare == nil {
+		s.spare = f.spare.PushBack(s)
+	} else {
+		f.spare.MoveToBack(s.spare)
+	}
+}
+
+func (f *Lines) keep(s *session) {
+	if s.spare != nil {
+		f.spare.Remove(s.spare)
+		s.spare = nil
+	}
+}
+
 // turnAway answers a client for which there is no descriptor. Its line is read first where it is there already:
 // a connection that is closed with unread bytes is reset, and the answer may be lost with that.
 func (f *Lines) turnAway(s *session) {
-	if f.count.Full++; f.count.Full == 1 {
-		f.log.Printf("out of descriptors: %d open of %d", f.loop.Open(), f.sockets)
+	if s.state == opening {
+		if f.count.Full++; f.count.Full == 1 {
+			f.log.Printf("out of descriptors: %d open of %d", f.loop.Open(), f.sockets)
+		}
+		_, _ = s.link.sock.Read(f.scratch[:openingRead])
+		_ = s.link.write(busy(fullAdvice))
 	}
-	_, _ = s.link.fill(f.scratch)
-	_ = s.link.write(busy(fullAdvice))
 	s.close()
 }
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -22,9 +22,22 @@
 	heard  time.Time // its last sign of life, on any connection
 	told   time.Time // the last note on slow messages
 	slow   bool
-	silent bool // its clients are being moved for that; logged once
+	silent bool      // its clients are being moved for that; logged once
+	faulty time.Time // the log last said that it breaks the protocol
 }
 
+// complain logs that the target breaks the protocol: not more often than complainEvery, since a target that
+// garbles one answer may garble all.
+func (p *peer) complain(what string, text []byte) {
+	p.front.count.Garbled++
+	if now := p.front.loop.Now(); now.Sub(p.faulty) >= complainEvery {
+		p.faulty = now
+		p.front.log.Printf("egress target %s: %s %.40q", p.id, what, text)
+	}
+}
+
+const complainEvery = 10 * time.Second
+
 // sign takes a sign of life.
 func (p *peer) sign(now time.Time) { p.heard, p.silent = now, false }
 
@@ -46,8 +59,14 @@
 		p.timer.Fire = p.due
 		f.peers[to.ID] = p
 	}
-	if p.to != nil && p.to.Addr != to.Addr && p.state == probeIdle {
-		p.hangUp()
+	if moved := p.to != nil && p.to.Addr != to.Addr; moved {
+		p.to = to
+		if p.state == probeDialing || p.state == probeAsking {
+			p.hangUp() // what the old address would say is not of this target
+			p.dial()
+		} else {
+			p.hangUp()
+		}
 	}
 	p.to = to
 	return p
@@ -81,9 +100,10 @@
 }
 
 func (p *peer) dial() {
+	p.front.room(hopSockets)
 	sock, err := p.front.loop.Dial(p.to.Addr, p)
 	if err != nil {
-		p.front.engine.Probed(p.id, balance.NoConnect, noReport)
+		p.front.engine.Probed(p.id, dialOutcome(err), noReport)
 		return
 	}
 	p.link.sock, p.state = sock, probeDialing
@@ -159,7 +179,7 @@
 	first, more := line.Next(lines)
 	word, rest := line.ParseWord(line.Text(first))
 	if p.state != probeAsking || len(more) > 0 || word != line.Pong && word != line.Err {
-		p.front.log.Printf("egress target %s: unknown answer to a probe %.40q", p.id, line.Text(first))
+		p.complain("unknown answer to a probe", line.Text(first))
 		if p.state == probeAsking {
 			p.failed(balance.Error)
 		} else {
--- /dev/null
+++ b/internal/proxy/rude_test.go
@@ -0,0 +1,199 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreyspan/balance"
+	"ospreyspan/internal/poll"
+	"ospreyspan/internal/routes"
+)
+
+// rude are first lines that no client of the protocol sends. None may reach an egress target: it would answer
+// with an error, and the module would eject a sound one for what a client did.
+var rude = []string{
+	"frob 1", "OPEN", "OPEN 1", "OPEN 1 k", "OPEN  k c=c,d=5", "OPEN 1 k c=other,d=2000", "OPEN 1 k c=C,d=2000",
+	"OPEN 1 k c=c", "OPEN 1 k c=c,d=", "OPEN 1 k c=c,d=soon", "OPEN 1 k c=c,d=-5", "OPEN 1 k c=c,d=1e9",
+	"OPEN 1 k c=c,d=99999999999999999999999", "OPEN 1 k c=c,d=5,g=\x00", "\xf5f\x8d\x01", "", "UP 1",
+	"OPEN 1 k c=c,d=2000\r\nOPEN 2 k c=c,d=2000", "OPEN 1 k c=c,d=2000\r\nhalf", strings.Repeat("PING\r\n", 300),
+	strings.Repeat("OPEN 1 k c=c,d=2000\r\n", 300), strings.Repeat("x", 9000),
+}
+
+// Each gets an error and the end of the connection at once, costs no hop, and the log one line for all.
+func TestRudeFirstLines(t *testing.T) {
+	b := newBed(t, 1, false)
+	var all []*end
+	for i, text := range rude {
+		c := b.client()
+		all = append(all, c)
+		c.say(t, text+"\r\n")
+		b.until(fmt.Sprintf("an error for %.40q", text), func() bool { return c.eof })
+		if got := strings.ReplaceAll(string(c.got), "PONG\r\n", ""); got != "ERR\r\n" {
+			t.Errorf("%.40q got %q", text, got)
+		}
+		if b.count.Malformed != i+1 || b.count.Hops != 0 || b.count.Exchanges != 0 {
+			t.Fatalf("%.40q: %+v", text, b.count)
+		}
+	}
+	if n := strings.Count(b.log.String(), "\n"); n != 1 {
+		t.Errorf("%d lines in the log", n)
+	}
+	b.over(all...)
+}
+
+// The id of an open exchange is its client's: another that sends it gets an error, whether the first one waits
+// or stands, and the first one goes on. Once that has ended the id is free.
+func TestIDInUse(t *testing.T) {
+	b := newBed(t, 1, false)
+	owner := b.client()
+	owner.say(t, "OPEN a k c=c,d=2000\r\n")
+	b.until("the hop", func() bool { return b.asked("a") != nil })
+	try := func() *end {
+		c := b.client()
+		c.say(t, "OPEN a k c=c,d=2000\r\n")
+		b.until("an error", func() bool { return c.eof && string(c.got) == "ERR\r\n" })
+		return c
+	}
+	first := try()
+	target := b.asked("a")
+	target.say(t, "UP r\r\n")
+	b.until("UP", func() bool { return string(owner.got) == "UP r\r\n" })
+	second := try()
+	target.got, owner.got = nil, nil
+	owner.say(t, "reading\r\n")
+	target.say(t, "fine\r\n")
+	b.until("lines both ways", func() bool { return string(owner.got) == "fine\r\n" && string(target.got) == "reading\r\n" })
+	if b.count.Hops != 1 {
+		t.Errorf("%d hops", b.count.Hops)
+	}
+	owner.sock.Close()
+	b.until("the end", func() bool { return len(b.engine.exchanges) == 0 })
+	third, _ := b.stands("a")
+	b.over(first, second, third)
+}
+
+// A client that does not wait for its answer has no answer but an error, and its hop is given up.
+func TestEarlyLines(t *testing.T) {
+	b := newBed(t, 1, false)
+	for i, text := range []string{"reading\r\n", "half"} {
+		c := b.client()
+		id := fmt.Sprint("e", i)
+		c.say(t, "OPEN "+id+" k c=c,d=2000\r\n")
+		b.until("the hop", func() bool { return b.asked(id) != nil })
+		c.say(t, text)
+		b.until("ERR", func() bool { return c.eof && string(c.got) == "ERR\r\n" })
+		b.until("the end of the hop", func() bool { return b.asked(id).eof })
+		c.sock.Close()
+	}
+	if b.engine.module.Held("s0") != 0 {
+		t.Errorf("the module counts %d", b.engine.module.Held("s0"))
+	}
+	b.over()
+}
+
+// Half a line and the end, by FIN or reset, costs nothing more; without an end it has an answer in time.
+func TestHalfALine(t *testing.T) {
+	b := newBed(t, 0, false)
+	fin, rst, stays, says := b.client(), b.client(), b.client(), b.client()
+	for _, c := range []*end{fin, rst, stays} {
+		c.say(t, "OPEN 1 k c=c,")
+	}
+	b.settle()
+	fin.sock.CloseWrite()
+	rst.reset = true
+	rst.sock.Reset()
+	b.until("two gone", func() bool { return len(b.front.sessions) == 2 && fin.eof })
+	begin := time.Now()
+	b.until("an answer", func() bool { return stays.eof && says.eof })
+	if took := time.Since(begin); took > 2500*time.Millisecond || string(stays.got) != "BUSY\r\n" || string(says.got) != "BUSY\r\n" {
+		t.Errorf("after %v: %q and %q", took, stays.got, says.got)
+	}
+	b.over(fin, stays, says)
+}
+
+// A client that sends without end gets its error whole, though it is not read to the end: what is read of it in
+// all is bounded, and what a turn reads as well.
+func TestEndlessLine(t *testing.T) {
+	b := newBed(t, 1, false)
+	c := b.client()
+	text := []byte(strings.Repeat("x", 16<<10))
+	sent, stuck := 0, 0
+	for begin := time.Now(); !c.reset && stuck < 40 && time.Since(begin) < 900*time.Millisecond; b.settle() {
+		n, err := c.sock.Write(text)
+		if sent += n; n == 0 {
+			stuck++
+		}
+		if err != nil {
+			break
+		}
+	}
+	if string(c.got) != "ERR\r\n" || b.count.Malformed != 1 {
+		t.Errorf("got %q; %+v", c.got, b.count)
+	}
+	if sent > 8<<20 || stuck == 0 {
+		t.Errorf("%d bytes were taken", sent)
+	}
+	for s := range b.front.sessions {
+		if s.spilt > spillMost+len(b.front.scratch) || cap(s.link.rest) > 2*openingRead {
+			t.Errorf("%d bytes read, %d kept", s.spilt, cap(s.link.rest))
+		}
+	}
+	b.over(c)
+}
+
+// Connections that say nothing must not keep out a client with a request, nor its hop: the oldest goes first,
+// with an answer.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	b := newBed(t, 1, false)
+	standing, _ := b.stands("a")
+	b.front.sockets = b.loop.Open() + spareSockets + 20
+	idle := make([]*end, 30)
+	for i := range idle {
+		idle[i] = b.client()
+		b.front.sockets++ // the far ends are on the same loop
+	}
+	b.settle()
+	for i := range idle[:9] {
+		if !idle[i].eof || string(idle[i].got) != "BUSY 1000\r\n" {
+			t.Fatalf("the %d. idle connection got %q, ended: %v", i, idle[i].got, idle[i].eof)
+		}
+	}
+	if last := idle[29]; last.eof || b.front.loop.Open()+spareSockets > b.front.sockets {
+		t.Error("a young one went, or too many stay")
+	}
+	b.front.sockets += 3 // the far ends of what follows
+	c, target := b.stands("b")
+	target.say(t, "fine\r\n")
+	b.until("a line", func() bool { return string(c.got) == "fine\r\n" })
+	if standing.eof || standing.reset {
+		t.Error("a standing connection was cut off")
+	}
+	b.front.sockets = 0
+	b.over(append(idle, standing, c)...)
+}
+
+// A shortage of descriptors here is no word on a target: neither a hop nor a probe may speak against it.
+func TestShortageIsNoFaultOfTheTarget(t *testing.T) {
+	b := newBed(t, 1, true)
+	to := b.engine.table.Find("s0")
+	p := b.front.peer(to)
+	for _, tt := range []struct {
+		err  error
+		want balance.Outcome
+	}{{fmt.Errorf("%w: none left", poll.ErrNoSocket), balance.NotSent}, {errors.New("refused"), balance.NoConnect}} {
+		if got := dialOutcome(tt.err); got != tt.want {
+			t.Errorf("%v is taken for %v", tt.err, got)
+		}
+	}
+	b.engine.events = nil
+	p.state = probeDialing
+	b.front.peer(&routes.Target{ID: "s0", Addr: b.front.listener.Addr()}) // it moves: the probe goes with it
+	if p.state != probeDialing || p.to.Addr != b.front.listener.Addr() || len(b.engine.events) != 0 {
+		t.Errorf("after a move: state %v, %d events", p.state, len(b.engine.events))
+	}
+	p.hangUp()
+	b.over()
+}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"container/list"
 	"errors"
 	"io"
 	"time"
@@ -30,15 +31,17 @@
 	x     *Exchange
 	hop   *hop
 	timer poll.Timer
-	gone  bool // standing: the client has ended its sending
+	gone  bool          // standing: the client has ended its sending
+	asked int           // lines before the one that opens
+	spilt int           // closing: bytes that were read and dropped
+	spare *list.Element // its place in the front's list of those that may be cut off; nil: not there
 }
 
 var (
-	moveLine   = []byte("MOVE\r\n")
-	failLine   = []byte("ERR\r\n")
-	pongLine   = []byte("PONG\r\n")
-	noLine     = []byte("NO\r\n")
-	syntaxLine = []byte("SYNTAX\r\n")
+	moveLine = []byte("MOVE\r\n")
+	failLine = []byte("ERR\r\n")
+	pongLine = []byte("PONG\r\n")
+	noLine   = []byte("NO\r\n")
 )
 
 func busy(after time.Duration) []byte { return line.AppendBusy(nil, after) }
@@ -60,10 +63,16 @@
 }
 
 func (s *session) read() {
-	lines, err := s.link.fill(s.front.scratch)
+	if s.state == closing {
+		s.spill()
+		return
+	}
+	scratch := s.front.scratch
+	if s.state != standing {
+		scratch = scratch[:openingRead]
+	}
+	lines, err := s.link.fill(scratch)
 	switch {
-	case s.state == closing && (err == nil || errors.Is(err, line.ErrTooLong)):
-		s.link.rest = s.link.rest[:0] // it has its last line; what it still sends is of no use
 	case err == nil:
 		s.take(lines)
 	case errors.Is(err, io.EOF):
@@ -75,6 +84,23 @@
 	}
 }
 
+// spill reads on for a while after the last line: a connection that is closed with bytes unread is reset, and
+// that can take the answer with it. What is beyond spillMost stays in the kernel, where it costs nothing.
+func (s *session) spill() {
+	n, err := s.link.sock.Read(s.front.scratch)
+	switch s.spilt += n; {
+	case errors.Is(err, io.EOF):
+		s.link.ended = true
+		s.link.want()
+		s.ended()
+	case err != nil && !errors.Is(err, poll.ErrAgain):
+		s.close()
+	case s.spilt > spillMost:
+		s.link.deaf = true
+		s.link.want()
+	}
+}
+
 // take deals with whole lines from the client.
 func (s *session) take(lines []byte) {
 	switch s.state {
@@ -82,56 +108,58 @@
 		for len(lines) > 0 && s.state == opening {
 			var first []byte
 			first, lines = line.Next(lines)
-			s.first(line.Text(first))
+			s.first(line.Text(first), len(lines)+len(s.link.rest) > 0)
 		}
-		if s.state == waiting && len(lines) > 0 { // it does not wait, as it should; its lines do
-			s.early(lines)
+	case waiting: // one that sends more before its answer is no client of this protocol
+		if len(lines)+len(s.link.rest) > 0 {
+			s.malformed("lines before its answer")
 		}
-	case waiting:
-		s.early(lines)
 	case standing:
 		s.pass(lines)
 	}
 }
 
-// early keeps lines that came before the answer, up to what one line may hold.
-func (s *session) early(lines []byte) {
-	if len(lines)+len(s.link.rest) > line.Max {
-		s.malformed("lines before its answer")
-		return
-	}
-	s.link.rest = append(append([]byte(nil), lines...), s.link.rest...)
-}
-
-// first takes the line that opens the connection.
-func (s *session) first(text []byte) {
+// first takes a line of a connection that opens; more tells that others came with it. Whoever sends hundreds
+// of requests in one go must not have the first of them served as though it had sent that alone.
+func (s *session) first(text []byte, more bool) {
 	f := s.front
-	switch string(text) {
-	case "PING":
-		f.count.Pings++
-		s.say(pongLine)
-		return
-	case "STATS": // a proxy is no target of probes
-		s.say(noLine)
+	if ping := string(text) == "PING"; ping || string(text) == "STATS" {
+		switch s.asked++; {
+		case s.asked > openingLines:
+			s.malformed("too many lines before its request")
+		case ping:
+			f.count.Pings++
+			s.say(pongLine)
+		default: // a proxy is no target of probes
+			s.say(noLine)
+		}
 		return
 	}
 	open, err := line.ParseOpen(text)
+	if err == nil && more {
+		err = errors.New("lines before its answer")
+	}
 	if err != nil {
-		s.malformed("its first line is none of the protocol")
+		s.malformed(err.Error())
 		return
 	}
-	s.open, s.state = open, waiting
-	f.loop.Disarm(&s.timer)
 	// The client's time runs since it sent the line, which may have waited for this turn of the loop.
 	offer := Offer{
-		Class: open.Class, Key: open.Key, Group: open.Group, Again: open.Again,
+		ID: open.ID, Class: open.Class, Key: open.Key, Group: open.Group, Again: open.Again,
 		Wait: max(open.Wait-s.link.sock.Idle(), 0),
 	}
 	if open.At != "" {
-		s.x = f.engine.Adopt(s, offer, open.At)
+		s.x, err = f.engine.Adopt(s, offer, open.At)
 	} else {
-		s.x = f.engine.Take(s, offer)
+		s.x, err = f.engine.Take(s, offer)
 	}
+	if err != nil {
+		s.malformed(err.Error())
+		return
+	}
+	s.open, s.state = open, waiting
+	f.loop.Disarm(&s.timer)
+	f.keep(s)
 }
 
 // say writes a line while the connection opens.
@@ -148,16 +176,18 @@
 	}
 }
 
-// malformed answers what is not of the protocol and closes the connection.
+// malformed answers what is not of the protocol and closes the connection. Such clients may come by the
+// hundred and again at once: only the first is worth a line of the log, the counters have the others.
 func (s *session) malformed(what string) {
-	s.front.count.Malformed++
-	s.front.log.Printf("client: %s; closed", what)
+	if s.front.count.Malformed++; s.front.count.Malformed == 1 {
+		s.front.log.Printf("client: %s; closed. Others are counted only", what)
+	}
 	switch s.state {
 	case opening:
-		s.last(syntaxLine)
+		s.last(failLine)
 	case waiting:
 		s.x.Left()
-		s.last(syntaxLine)
+		s.last(failLine)
 	case standing:
 		s.abandon(balance.Cancelled)
 	default:
@@ -234,7 +264,11 @@
 		return
 	}
 	s.link.deaf = false
+	s.link.rest = nil
 	s.link.finish()
+	if len(s.link.out) == 0 {
+		s.front.expendable(s)
+	}
 	switch {
 	case len(s.link.out) > 0:
 		s.front.loop.After(&s.timer, flushWait)
@@ -267,6 +301,7 @@
 	}
 	s.state = closed
 	s.front.loop.Disarm(&s.timer)
+	s.front.keep(s)
 	s.endHop()
 	s.link.close()
 	delete(s.front.sessions, s)
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -17,7 +17,7 @@
 	// How hops ended.
 	HopOK, HopError, HopFull, HopTimeout, HopNoConnect, HopBroken, HopCancelled int
 	// Other.
-	ProbesFailed, WatchesFailed, Silent, Overdue, Full, Reloads int
+	ProbesFailed, WatchesFailed, Silent, Overdue, Full, Reloads, Garbled int
 }
 
 // Print writes the counts on a few lines.
@@ -30,6 +30,6 @@
 		c.Up, c.Shed, c.Failed, c.Left, c.Overdue)
 	fmt.Fprintf(w, "hops ended: ok=%d error=%d full=%d timeout=%d no-connect=%d broken=%d cancelled=%d\n",
 		c.HopOK, c.HopError, c.HopFull, c.HopTimeout, c.HopNoConnect, c.HopBroken, c.HopCancelled)
-	fmt.Fprintf(w, "troubles: probes-failed=%d watches-failed=%d silent=%d out-of-descriptors=%d reloads=%d\n",
-		c.ProbesFailed, c.WatchesFailed, c.Silent, c.Full, c.Reloads)
+	fmt.Fprintf(w, "troubles: probes-failed=%d watches-failed=%d silent=%d out-of-descriptors=%d reloads=%d garbled=%d\n",
+		c.ProbesFailed, c.WatchesFailed, c.Silent, c.Full, c.Reloads, c.Garbled)
 }
