--- a/balance/balance.go
+++ b/balance/balance.go
@@ -486,6 +486,9 @@
 	case Cancelled, NotSent:
 		return
 	}
+	if now.Before(k.until) {
+		return // a process that dies breaks all its connections at once: that is one failure
+	}
 	times := float64(int64(1) << min(k.strikes, ejectMost))
 	k.until = now.Add(b.spread(span(ejectFor * micros(probeEvery) * times)))
 	k.strikes++
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -14,10 +14,13 @@
 	// the most, and what the platform adds.
 	longestCounted = 3 * time.Second
 	killAfter      = 700 * time.Millisecond
-	// The last moves go out this long before SIGKILL, and the last answers; then the program ends.
-	movesDone   = 1300 * time.Millisecond
-	answersDone = 900 * time.Millisecond
-	ends        = 400 * time.Millisecond
+	// The last moves go out this long before SIGKILL, and the last answers; then the program ends. The moves are
+	// late and close together: in a rolling restart the proxy that stopped before this one is not back sooner, and
+	// until then those who are sent away may have nowhere to go.
+	movesSpan   = 1700 * time.Millisecond
+	movesDone   = 850 * time.Millisecond
+	answersDone = 750 * time.Millisecond
+	ends        = 350 * time.Millisecond
 	drainStep   = 20 * time.Millisecond
 	drainAdvice = time.Second
 )
@@ -29,6 +32,7 @@
 	begin time.Time
 	kill  time.Time
 	timer poll.Timer
+	share float64 // part of a move that is due
 	done  func()
 }
 
@@ -73,8 +77,12 @@
 	return true
 }
 
-// moveSome moves as many standing connections as keeps their number falling evenly.
+// moveSome moves as many standing connections as keeps their number falling evenly. While new clients may still
+// come nobody is moved: who was sent away then would come back here, and be moved again.
 func (f *Lines) moveSome(now time.Time) {
+	if now.Sub(f.drain.begin) < lateClients || now.Before(f.drain.kill.Add(-movesDone-movesSpan)) {
+		return
+	}
 	n := 0
 	for s := range f.sessions {
 		if s.state == standing && !s.gone {
@@ -83,8 +91,9 @@
 	}
 	left := f.drain.kill.Add(-movesDone).Sub(now)
 	if left > drainStep {
-		steps := int(left / drainStep)
-		n = (n + steps - 1) / steps
+		f.drain.share += float64(n) * float64(drainStep) / float64(left)
+		n = int(f.drain.share)
+		f.drain.share -= float64(n)
 	}
 	for s := range f.sessions {
 		if n <= 0 {
