--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 	groupCost   = 2.0  // a backend that would pay for a group anew needs this many times the weight
 	groupSpill  = 25.0 // and this many more idle points, for each place after the first
 	shedWeight  = 25.0 // idle points below which a backend takes no new connection
+	freshCost   = 2.0  // idle points that a placement takes until a report tells
 	worthMost   = 2.0  // most that the bar rises by a worth below the mean
 	overSlack   = 1.5  // a tenant's share is passed over until it is exceeded by this factor
 	overMost    = 3.0  // most idle points asked of a tenant beyond its share, in shedWeights
@@ -346,7 +347,7 @@
 		if need <= max(bar, k.weight) { // else it would not come for a while: that room is another's
 			wanted = append(wanted, k)
 		}
-		if added*need > k.weight || b.rng.Float64() > b.room(now, k) {
+		if need+freshCost*float64(k.fresh) > k.weight || b.rng.Float64() > b.room(now, k) {
 			continue
 		}
 		switch {
--- a/balance/troubles_test.go
+++ b/balance/troubles_test.go
@@ -592,3 +592,44 @@
 		}
 	}
 }
+
+// A process that dies breaks all its connections in one turn. That is one failure: counted one by one, five of
+// them kept a backend that was back at once, and empty, out of use for 48 s.
+func TestOneCauseIsOneFailure(t *testing.T) {
+	s := start(t, config(), 1, 1)
+	for id := RequestID(1); id <= 6; id++ {
+		s.now = s.now.Add(sec)
+		if s.place(ask(id), idle) != "b0" {
+			t.Fatalf("request %d was held", id)
+		}
+		s.b.Started(s.now, id)
+	}
+	for id := RequestID(1); id <= 6; id++ {
+		s.finish(id, true, Broken)
+	}
+	k := s.b.byID["b0"]
+	if out := k.until.Sub(s.now); k.strikes != 1 || out < 2*sec || out > 4*sec {
+		t.Errorf("%d strikes, ejected for %v", k.strikes, out)
+	}
+	s.now = k.until // what fails after that is another failure
+	s.b.judge(s.now, k, NoConnect)
+	if out := k.until.Sub(s.now); k.strikes != 2 || out < 5*sec {
+		t.Errorf("then %d strikes, ejected for %v", k.strikes, out)
+	}
+}
+
+// Clients that come back together find room as long as a backend has idle points: what one of them takes until
+// the next report is little. As much for each as a new one must find refused them at half the load.
+func TestManyFitBetweenReports(t *testing.T) {
+	s := start(t, config(), 1, 1)
+	k := s.b.byID["b0"]
+	s.b.Probed(s.now, "b0", OK, load(0.5))
+	placed := 0
+	for id := RequestID(1); id <= 40; id++ {
+		s.b.Request(s.now, ask(id)) // all before the next report
+		placed += s.count(s.take(), "send")
+	}
+	if placed < 8 || placed > 20 {
+		t.Errorf("%d placed on a backend with %v idle points", placed, k.weight)
+	}
+}
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -455,3 +455,16 @@
 	}
 	b.engine.watch.Stop()
 }
+
+// Who is moved while new clients may still come to this proxy comes back to it, and is moved again.
+func TestDrainMovesNobodyAtFirst(t *testing.T) {
+	b := newBed(t, 1, false)
+	client, _ := b.stands("a")
+	b.front.set.Waits = []time.Duration{100 * time.Millisecond} // SIGKILL after 0.8 s: all would be moved at once
+	begin := time.Now()
+	b.front.Drain(func() {})
+	b.until("MOVE", func() bool { return len(client.got) > 0 })
+	if took := time.Since(begin); took < lateClients {
+		t.Errorf("moved after %v", took)
+	}
+}
