Silent targets are seen after 0.8 s; a shortage of ports or memory blames no target

Running targets answer a client's line at once (median through a proxy under 1 ms), also slow ones, and the check asks for silence on all connections of the target.

At fault: silentAfter of 1.5 s, and a first look at the line only after 1 s (hop.forward), so that the module heard of the delay, and probed, after a second. Also poll.Dial told a lack of local ports (EADDRNOTAVAIL) or of memory like a refusal by the target, which ejects it.

Ruled out: 0.5 s, which a pause of a running target may take, and then moves all of its clients.

--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -233,3 +233,14 @@
 type handler func(Ready)
 
 func (h handler) Ready(r Ready) { h(r) }
+
+// What this machine lacks must not be told as a fault of the other side; what the other side refuses must.
+func TestOwnFault(t *testing.T) {
+	for err, own := range map[error]bool{
+		unix.EADDRNOTAVAIL: true, unix.ENOBUFS: true, unix.ECONNREFUSED: false, unix.ENETUNREACH: false,
+	} {
+		if got := ownFault(err); errors.Is(got, ErrNoSocket) != own || !errors.Is(got, err) {
+			t.Errorf("%v is told as %v", err, got)
+		}
+	}
+}
--- a/internal/poll/socket.go
+++ b/internal/poll/socket.go
@@ -13,7 +13,7 @@
 var (
 	// ErrAgain means that the socket has nothing to read now.
 	ErrAgain = errors.New("poll: not ready")
-	// ErrNoSocket means that this process has no descriptor left: the other side is not at fault.
+	// ErrNoSocket means that this machine has no descriptor, port or memory left: the other side is not at fault.
 	ErrNoSocket = errors.New("poll: no socket")
 )
 
@@ -42,6 +42,16 @@
 
 const socketKind = unix.SOCK_STREAM | unix.SOCK_NONBLOCK | unix.SOCK_CLOEXEC
 
+// ownFault marks the errors of connect that this machine is the cause of, out of ports or of memory, with
+// ErrNoSocket.
+func ownFault(err error) error {
+	switch err {
+	case unix.EADDRNOTAVAIL, unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM:
+		return fmt.Errorf("%w: %w", ErrNoSocket, err)
+	}
+	return err
+}
+
 // Dial starts a connection. It is up, or has failed, once it is ready for writing: Established tells which.
 func (l *Loop) Dial(to netip.AddrPort, h Handler) (*Socket, error) {
 	fd, err := unix.Socket(family(to.Addr()), socketKind, 0)
@@ -54,7 +64,7 @@
 	}
 	if err != nil && !errors.Is(err, unix.EINPROGRESS) {
 		unix.Close(fd)
-		return nil, fmt.Errorf("connect to %s: %w", to, err)
+		return nil, fmt.Errorf("connect to %s: %w", to, ownFault(err))
 	}
 	return l.add(fd, h, unix.EPOLLOUT)
 }
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -150,6 +150,9 @@
 	if silentLast+noteEvery+lateCheck > 7*time.Second {
 		t.Error("silence is seen too late for the rules")
 	}
+	if silentAfter+lateCheck > time.Second {
+		t.Error("clients of a machine that vanished are without service for over a second after their line")
+	}
 	b.over(client)
 }
 
--- a/internal/proxy/standing.go
+++ b/internal/proxy/standing.go
@@ -11,7 +11,10 @@
 	// silentAfter is how long a line of the client may stay without any sign of the target on any of its
 	// connections. A running target answers at once, also one that is slow at its work; a machine that vanished
 	// gives no other sign, and its clients are without service until they are moved. The rules leave 7 s.
-	silentAfter = 1500 * time.Millisecond
+	silentAfter = 800 * time.Millisecond
+	// quietCheck is how often such a line is looked after: the first time the module is told, and has the target
+	// probed.
+	quietCheck = silentAfter / 2
 	// silentLast is the same where other connections of the target still give signs.
 	silentLast = 4 * time.Second
 	// lateCheck is by how much a check may be late and still count: a process that did not run has to read
@@ -34,7 +37,7 @@
 	if h.asked.IsZero() {
 		h.asked = s.front.loop.Now()
 		if !h.timer.Armed() {
-			h.checkAfter(noteEvery)
+			h.checkAfter(quietCheck)
 		}
 	}
 	if h.link.behind() {
@@ -120,7 +123,7 @@
 		return
 	}
 	h.tell(took)
-	h.checkAfter(silentAfter - noteEvery)
+	h.checkAfter(quietCheck)
 }
 
 // checkAfter looks after the client's line again later.
