Module: refused clients may come after a quarter of the longest advice

The trace shows refusals at targets with 11 to 42 idle points, of which others are moved or end within a second, and the refused clients away for 2 s.

At fault: Balancer.conclude gave MaxAdvice, 2 s, to all.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,6 +39,7 @@
 	firstShare  = 0.4  // part of the aim that a first attempt may take: there must be time for another
 	maxWindow   = 32.0 // attempts that may be out at once, not counting connections that stand
 	backoff     = 0.4  // part of the aim before a second try while most attempts fail; then doubles
+	adviceShare = 0.25 // part of the longest advice that a refused client gets: room is found soon
 	commonFail  = 0.5  // part of the attempts that fail when it is no single backend's fault
 	lastWeight  = 0.25 // of one attempt or request in a mean: three failures in a row bring it over half
 	ejectFor    = 1.0  // first ejection of a failing backend, in probe periods; doubles each time
@@ -421,7 +422,7 @@
 	c := b.class(r.Class)
 	b.forget(r)
 	if r.ran == nil || c.Repeat == RepeatFree || c.Repeat == RepeatKeyed && c.Scope == ScopeAll {
-		b.host.Refuse(r.ID, b.cfg.MaxAdvice)
+		b.host.Refuse(r.ID, time.Duration(float64(b.cfg.MaxAdvice)*adviceShare))
 	} else {
 		b.host.Fail(r.ID)
 	}
--- a/balance/troubles_test.go
+++ b/balance/troubles_test.go
@@ -633,3 +633,24 @@
 		t.Errorf("%d placed on a backend with %v idle points", placed, k.weight)
 	}
 }
+
+// A refused client comes back after a part of the longest advice: room is found long before that is over, and
+// until it is back its connection is worth nothing.
+func TestAdviceIsShort(t *testing.T) {
+	cfg := config()
+	cfg.MaxAdvice = 2 * sec
+	s := start(t, cfg, 1, 1)
+	s.b.Probed(s.now, "b0", OK, load(1))
+	q := ask(1)
+	q.Left = 10 * ms
+	s.b.Request(s.now, q)
+	var refused []action
+	for _, a := range s.take() {
+		if a.what == "refuse" {
+			refused = append(refused, a)
+		}
+	}
+	if len(refused) != 1 || refused[0].d != 500*ms {
+		t.Errorf("%v", refused)
+	}
+}
