A watch on discovery waits 2 s, so that one that falls silent is given up after 3.2 s

At fault: watchWait of 4 s in routes: with the 1.2 s after it, 5.2 s passed before the next call was made.

Ruled out: the watch's retries (the next call followed within 0.4 s), lists that broke off (asked again at once), the module's moves (3 s, once it is told).

--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -143,3 +143,21 @@
 	}
 	b.engine.watch.Stop()
 }
+
+// A watch that falls silent, with its connection open, is given up soon: targets that drain in that time are
+// told late, and stop with clients on them.
+func TestSilentWatchIsGivenUpSoon(t *testing.T) {
+	b := newBed(t, 1, false)
+	d := newDiscovery(b)
+	b.watchAt(d.l.Addr())
+	d.asked(0)
+	begin := time.Now()
+	if got := d.asked(1); !strings.HasPrefix(got, "GET /registry/instances?index=7&") {
+		t.Errorf("asked %q", got)
+	}
+	if took := time.Since(begin); took > 4*time.Second || b.count.WatchesFailed != 1 {
+		t.Errorf("asked again after %v, %d failures", took, b.count.WatchesFailed)
+	}
+	b.engine.watch.Stop()
+	d.close()
+}
--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -14,7 +14,7 @@
 const (
 	// A machine that vanished gives no sign, and news that it should have told counts as told 2 s after the
 	// call's wait: the wait is short and the call is given up soon enough for another one to be answered.
-	watchWait   = 4 * time.Second
+	watchWait   = 2 * time.Second
 	answerGrace = 1200 * time.Millisecond
 	dialWait    = 500 * time.Millisecond
 	// All proxies lose discovery together, which takes a few calls a second: their retries are drawn apart.
