Tests: the bounds of three waits stand a busy machine

Seen: the bounds lay 0.1 to 0.5 s above what the tests take on an idle machine. They now stand just below what the faults they guard against would give (2.9 s, 2.9 s and 5.2 s).

--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -127,7 +127,7 @@
 	b.engine.SetDiscovery(free)
 	failed := b.count.WatchesFailed
 	b.until("retries at the new address", func() bool { return b.count.WatchesFailed >= failed+5 })
-	if took := time.Since(begin); took > 2*time.Second { // with pauses that grow, or go on from the old, over 3 s
+	if took := time.Since(begin); took > 2700*time.Millisecond { // with pauses that grow, or go on from the old, over 2.9 s
 		t.Errorf("5 tries took %v", took)
 	}
 	var err error
@@ -155,7 +155,7 @@
 	if got := d.asked(1); !strings.HasPrefix(got, "GET /registry/instances?index=7&") {
 		t.Errorf("asked %q", got)
 	}
-	if took := time.Since(begin); took > 4*time.Second || b.count.WatchesFailed != 1 {
+	if took := time.Since(begin); took > 4800*time.Millisecond || b.count.WatchesFailed != 1 {
 		t.Errorf("asked again after %v, %d failures", took, b.count.WatchesFailed)
 	}
 	b.engine.watch.Stop()
--- a/internal/proxy/rude_test.go
+++ b/internal/proxy/rude_test.go
@@ -108,7 +108,7 @@
 	b.until("two gone", func() bool { return len(b.front.sessions) == 2 && fin.eof })
 	begin := time.Now()
 	b.until("an answer", func() bool { return stays.eof && says.eof })
-	if took := time.Since(begin); took > 2500*time.Millisecond || string(stays.got) != "BUSY\r\n" || string(says.got) != "BUSY\r\n" {
+	if took := time.Since(begin); took > 2900*time.Millisecond || string(stays.got) != "BUSY\r\n" || string(says.got) != "BUSY\r\n" {
 		t.Errorf("after %v: %q and %q", took, stays.got, says.got)
 	}
 	b.over(fin, stays, says)
