Everything beneath the loop goes through a kernel seam, with epoll as the first kernel

Need: the whole program is to run in virtual time on a network that does not exist. Loop, Socket and Listener made system calls themselves. Change: poll.Kernel holds the calls (sockets, readiness, clock, wake); epoll.go is the one that serves. Loop, Socket and Listener keep their names and behaviour. UDP sockets (Packets) and a connection's far address are new.

--- /dev/null
+++ b/internal/poll/epoll.go
@@ -0,0 +1,303 @@
+package poll
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// epoll is the Kernel that serves: Linux's sockets and epoll, without blocking.
+type epoll struct {
+	epfd, wakefd int
+	gathered     [batch]unix.EpollEvent
+}
+
+// newEpoll opens the two descriptors that a loop needs for itself.
+func newEpoll() (*epoll, error) {
+	epfd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	wakefd, err := unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK)
+	if err == nil {
+		ev := unix.EpollEvent{Events: unix.EPOLLIN, Fd: WakeSlot}
+		if err = unix.EpollCtl(epfd, unix.EPOLL_CTL_ADD, wakefd, &ev); err != nil {
+			unix.Close(wakefd)
+		}
+	}
+	if err != nil {
+		unix.Close(epfd)
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	return &epoll{epfd: epfd, wakefd: wakefd}, nil
+}
+
+func (k *epoll) Now() time.Time { return time.Now() }
+
+func (k *epoll) Close() {
+	unix.Close(k.wakefd)
+	unix.Close(k.epfd)
+}
+
+func (k *epoll) Wake() {
+	one := [8]byte{1}
+	_, _ = unix.Write(k.wakefd, one[:]) // a full counter wakes the loop as well
+}
+
+// millis turns a wait into epoll's whole milliseconds, -1 for without end. It is rounded up: a wait that ended
+// early would be followed by another turn with nothing to do.
+func millis(most time.Duration) int {
+	if most < 0 {
+		return -1
+	}
+	return int((most + time.Millisecond - 1) / time.Millisecond)
+}
+
+func (k *epoll) Wait(events []Event, most time.Duration) (int, error) {
+	n, err := unix.EpollWait(k.epfd, k.gathered[:min(len(events), len(k.gathered))], millis(most))
+	if err != nil {
+		if errors.Is(err, unix.EINTR) { // a signal is no reason to stop
+			return 0, nil
+		}
+		return 0, fmt.Errorf("epoll: %w", err)
+	}
+	for i := range n {
+		e := &k.gathered[i]
+		if e.Fd == WakeSlot {
+			var count [8]byte
+			_, _ = unix.Read(k.wakefd, count[:])
+		}
+		events[i] = Event{Slot: e.Fd, Gen: e.Pad, Ready: Ready{
+			Read:   e.Events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0,
+			Write:  e.Events&(unix.EPOLLOUT|unix.EPOLLHUP|unix.EPOLLERR) != 0,
+			Hangup: e.Events&(unix.EPOLLHUP|unix.EPOLLERR) != 0,
+		}}
+	}
+	return n, nil
+}
+
+func family(a netip.Addr) int {
+	if a.Is4() {
+		return unix.AF_INET
+	}
+	return unix.AF_INET6
+}
+
+func sockaddr(a netip.AddrPort) unix.Sockaddr {
+	if a.Addr().Is4() {
+		return &unix.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()}
+	}
+	return &unix.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}
+}
+
+func addrPort(sa unix.Sockaddr) netip.AddrPort {
+	switch a := sa.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port))
+	}
+	return netip.AddrPort{}
+}
+
+const quiet = unix.SOCK_NONBLOCK | unix.SOCK_CLOEXEC
+
+// ownFault marks the errors of connect that this machine is the cause of, out of ports or of memory, with
+// ErrNoSocket.
+func ownFault(err error) error {
+	switch err {
+	case unix.EADDRNOTAVAIL, unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM:
+		return fmt.Errorf("%w: %w", ErrNoSocket, err)
+	}
+	return err
+}
+
+func (k *epoll) Connect(to netip.AddrPort) (int, error) {
+	fd, err := unix.Socket(family(to.Addr()), unix.SOCK_STREAM|quiet, 0)
+	if err != nil {
+		return -1, fmt.Errorf("%w: %w", ErrNoSocket, err)
+	}
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // only speed is lost without it
+	err = unix.Connect(fd, sockaddr(to))
+	if err != nil && !errors.Is(err, unix.EINPROGRESS) && !errors.Is(err, unix.EINTR) { // EINTR: it goes on all the same
+		unix.Close(fd)
+		return -1, ownFault(err)
+	}
+	return fd, nil
+}
+
+func (k *epoll) Listen(at netip.AddrPort, receive int) (int, error) {
+	fd, err := unix.Socket(family(at.Addr()), unix.SOCK_STREAM|quiet, 0)
+	if err != nil {
+		return -1, fmt.Errorf("socket: %w", err)
+	}
+	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err == nil { // inherited by what is accepted
+		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receive)
+	}
+	if err == nil {
+		err = unix.Bind(fd, sockaddr(at))
+	}
+	if err == nil {
+		err = unix.Listen(fd, unix.SOMAXCONN)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return -1, err
+	}
+	return fd, nil
+}
+
+func (k *epoll) Accept(fd int) (int, error) {
+	conn, _, err := unix.Accept4(fd, quiet)
+	switch {
+	case err == nil:
+		_ = unix.SetsockoptInt(conn, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		return conn, nil
+	case errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE):
+		return -1, ErrDescriptors
+	case errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED):
+		return -1, ErrAborted
+	case errors.Is(err, unix.EAGAIN):
+		return -1, ErrAgain
+	}
+	return -1, err
+}
+
+func (k *epoll) OpenUDP(at netip.AddrPort) (int, error) {
+	fd, err := unix.Socket(family(at.Addr()), unix.SOCK_DGRAM|quiet, 0)
+	if err != nil {
+		return -1, fmt.Errorf("%w: %w", ErrNoSocket, err)
+	}
+	if err := unix.Bind(fd, sockaddr(at)); err != nil {
+		unix.Close(fd)
+		return -1, err
+	}
+	return fd, nil
+}
+
+func (k *epoll) Spare() (int, error) {
+	return unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
+}
+
+func (k *epoll) CloseFD(fd int) { unix.Close(fd) }
+
+func mask(want Interest) uint32 {
+	var events uint32
+	if want&WantRead != 0 {
+		events |= unix.EPOLLIN
+	}
+	if want&WantWrite != 0 {
+		events |= unix.EPOLLOUT
+	}
+	return events
+}
+
+func (k *epoll) Watch(fd int, want Interest, slot, gen int32) error {
+	ev := unix.EpollEvent{Events: mask(want), Fd: slot, Pad: gen}
+	return unix.EpollCtl(k.epfd, unix.EPOLL_CTL_ADD, fd, &ev)
+}
+
+func (k *epoll) Rewatch(fd int, want Interest, slot, gen int32) {
+	ev := unix.EpollEvent{Events: mask(want), Fd: slot, Pad: gen}
+	// It can fail only for a descriptor that is not in the set, which the loop's add and remove rule out.
+	_ = unix.EpollCtl(k.epfd, unix.EPOLL_CTL_MOD, fd, &ev)
+}
+
+func (k *epoll) Read(fd int, p []byte) (int, error) {
+	for {
+		n, err := unix.Read(fd, p)
+		switch {
+		case err == nil:
+			return n, nil
+		case errors.Is(err, unix.EAGAIN):
+			return 0, ErrAgain
+		case !errors.Is(err, unix.EINTR):
+			return 0, err
+		}
+	}
+}
+
+// Send raises no SIGPIPE on a broken connection.
+func (k *epoll) Send(fd int, p []byte) (int, error) {
+	for {
+		n, err := unix.SendmsgN(fd, p, nil, nil, unix.MSG_NOSIGNAL)
+		switch {
+		case err == nil:
+			return n, nil
+		case errors.Is(err, unix.EAGAIN):
+			return 0, ErrAgain
+		case !errors.Is(err, unix.EINTR):
+			return 0, err
+		}
+	}
+}
+
+func (k *epoll) Receive(fd int, p []byte) (int, netip.AddrPort, error) {
+	for {
+		n, from, err := unix.Recvfrom(fd, p, 0)
+		switch {
+		case err == nil:
+			return n, addrPort(from), nil
+		case errors.Is(err, unix.EAGAIN):
+			return 0, netip.AddrPort{}, ErrAgain
+		case !errors.Is(err, unix.EINTR):
+			return 0, netip.AddrPort{}, err
+		}
+	}
+}
+
+func (k *epoll) SendTo(fd int, p []byte, to netip.AddrPort) error {
+	for {
+		err := unix.Sendto(fd, p, unix.MSG_NOSIGNAL, sockaddr(to))
+		switch {
+		case errors.Is(err, unix.EAGAIN):
+			return ErrAgain
+		case !errors.Is(err, unix.EINTR):
+			return err
+		}
+	}
+}
+
+func (k *epoll) CloseWrite(fd int) {
+	_ = unix.Shutdown(fd, unix.SHUT_WR) // fails only if the connection is broken already
+}
+
+func (k *epoll) ResetOnClose(fd int) {
+	_ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+}
+
+func (k *epoll) Fault(fd int) error {
+	code, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err == nil && code != 0 {
+		err = unix.Errno(code)
+	}
+	return err
+}
+
+func (k *epoll) Idle(fd int) time.Duration {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
+func (k *epoll) Name(fd int) netip.AddrPort {
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return addrPort(sa)
+}
+
+func (k *epoll) Peer(fd int) netip.AddrPort {
+	sa, err := unix.Getpeername(fd)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return addrPort(sa)
+}
--- a/internal/poll/listener.go
+++ b/internal/poll/listener.go
@@ -4,8 +4,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-
-	"golang.org/x/sys/unix"
 )
 
 // Listener accepts connections. It keeps one descriptor in reserve: without it a process that is out of
@@ -23,26 +21,12 @@
 // Listen accepts connections at an address. accept gets each and returns its handler; last tells that the
 // descriptors are used up: the connection must be answered and closed before accept returns.
 func (l *Loop) Listen(at netip.AddrPort, accept func(s *Socket, last bool) Handler) (*Listener, error) {
-	fd, err := unix.Socket(family(at.Addr()), socketKind, 0)
-	if err != nil {
-		return nil, fmt.Errorf("socket: %w", err)
-	}
-	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err == nil { // inherited by what is accepted
-		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
-	}
-	if err == nil {
-		err = unix.Bind(fd, sockaddr(at))
-	}
-	if err == nil {
-		err = unix.Listen(fd, unix.SOMAXCONN)
-	}
+	fd, err := l.kernel.Listen(at, receiveBuffer)
 	if err != nil {
-		unix.Close(fd)
 		return nil, fmt.Errorf("listen at %s: %w", at, err)
 	}
 	n := &Listener{accept: accept, reserve: -1}
-	if n.sock, err = l.add(fd, n, unix.EPOLLIN); err != nil {
+	if n.sock, err = l.add(fd, n, WantRead); err != nil {
 		return nil, err
 	}
 	n.hoard()
@@ -50,42 +34,46 @@
 }
 
 func (n *Listener) hoard() {
-	fd, err := unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
+	fd, err := n.sock.loop.kernel.Spare()
 	if err != nil {
 		fd = -1 // tried again at the next shortage
 	}
 	n.reserve = fd
 }
 
+// unhoard gives the reserve back.
+func (n *Listener) unhoard() {
+	if n.reserve >= 0 {
+		n.sock.loop.kernel.CloseFD(n.reserve)
+		n.reserve = -1
+	}
+}
+
 // acceptBatch bounds the connections taken in one turn, so that a surge does not starve the others.
 const acceptBatch = 64
 
 // Ready accepts what is waiting.
 func (n *Listener) Ready(Ready) {
+	loop := n.sock.loop
 	for range acceptBatch {
 		if n.sock.fd < 0 {
 			return
 		}
-		fd, _, err := unix.Accept4(n.sock.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		last := false
-		if errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) {
-			last = true
-			if n.reserve >= 0 {
-				unix.Close(n.reserve)
-				n.reserve = -1
-			}
-			fd, _, err = unix.Accept4(n.sock.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, err := loop.kernel.Accept(n.sock.fd)
+		last := errors.Is(err, ErrDescriptors)
+		if last {
+			n.unhoard()
+			fd, err = loop.kernel.Accept(n.sock.fd)
 		}
-		if errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED) {
+		if errors.Is(err, ErrAborted) {
 			continue
 		}
 		if err == nil {
-			_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-			if s, addErr := n.sock.loop.add(fd, nil, unix.EPOLLIN); addErr == nil {
+			if s, addErr := loop.add(fd, nil, WantRead); addErr == nil {
 				s.handler = n.accept(s, last)
 			}
 		}
-		if last {
+		if last && n.sock.fd >= 0 {
 			n.hoard()
 		}
 		if err != nil {
@@ -95,21 +83,10 @@
 }
 
 // Addr is the address at which it listens.
-func (n *Listener) Addr() netip.AddrPort {
-	switch a, _ := unix.Getsockname(n.sock.fd); a := a.(type) {
-	case *unix.SockaddrInet4:
-		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
-	case *unix.SockaddrInet6:
-		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port))
-	}
-	return netip.AddrPort{}
-}
+func (n *Listener) Addr() netip.AddrPort { return n.sock.Name() }
 
 // Close stops listening.
 func (n *Listener) Close() {
-	if n.reserve >= 0 {
-		unix.Close(n.reserve)
-		n.reserve = -1
-	}
+	n.unhoard()
 	n.sock.Close()
 }
--- /dev/null
+++ b/internal/poll/packet.go
@@ -0,0 +1,47 @@
+package poll
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+)
+
+// Packets is a UDP socket. Whoever opened it owns it and closes it once.
+type Packets struct{ sock *Socket }
+
+// OpenPackets opens a UDP socket at an address; port 0 picks a free one. Its handler is told when a datagram waits.
+func (l *Loop) OpenPackets(at netip.AddrPort, h Handler) (*Packets, error) {
+	fd, err := l.kernel.OpenUDP(at)
+	if err != nil {
+		return nil, fmt.Errorf("udp at %s: %w", at, err)
+	}
+	s, err := l.add(fd, h, WantRead)
+	if err != nil {
+		return nil, err
+	}
+	return &Packets{s}, nil
+}
+
+// Receive takes one datagram, of which what does not fit into p is lost; ErrAgain if none waits.
+func (u *Packets) Receive(p []byte) (int, netip.AddrPort, error) {
+	n, from, err := u.sock.loop.kernel.Receive(u.sock.fd, p)
+	if err != nil && !errors.Is(err, ErrAgain) {
+		err = fmt.Errorf("receive: %w", err)
+	}
+	return n, from, err
+}
+
+// Send sends one datagram, which may be lost on its way. ErrAgain means that it was lost here, for want of room.
+func (u *Packets) Send(p []byte, to netip.AddrPort) error {
+	err := u.sock.loop.kernel.SendTo(u.sock.fd, p, to)
+	if err != nil && !errors.Is(err, ErrAgain) {
+		err = fmt.Errorf("send to %s: %w", to, err)
+	}
+	return err
+}
+
+// Addr is the address at which it is.
+func (u *Packets) Addr() netip.AddrPort { return u.sock.Name() }
+
+// Close gives the descriptor back. Further calls do nothing.
+func (u *Packets) Close() { u.sock.Close() }
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -54,13 +54,13 @@
 
 func TestWaitIsRoundedUp(t *testing.T) {
 	l := newLoop(t)
-	if got := l.timers.next(l.now); got != -1 {
+	if got := millis(l.timers.next(l.now)); got != -1 {
 		t.Errorf("without a timer: %d", got)
 	}
 	var timer Timer
 	for d, want := range map[time.Duration]int{-1: 0, 0: 0, 1: 1, time.Millisecond: 1, 1100 * time.Microsecond: 2} {
-		if l.Arm(&timer, l.now.Add(d)); l.timers.next(l.now) != want {
-			t.Errorf("%v: %d ms, want %d", d, l.timers.next(l.now), want)
+		if l.Arm(&timer, l.now.Add(d)); millis(l.timers.next(l.now)) != want {
+			t.Errorf("%v: %v, want %d ms", d, l.timers.next(l.now), want)
 		}
 	}
 }
@@ -192,7 +192,7 @@
 			t.Fatal(err)
 		}
 		k := &sink{}
-		if k.s, err = l.add(fds[0], k, unix.EPOLLIN); err != nil {
+		if k.s, err = l.add(fds[0], k, WantRead); err != nil {
 			t.Fatal(err)
 		}
 		return fds[1], k
@@ -244,3 +244,50 @@
 		}
 	}
 }
+
+// Datagrams pass between two sockets of one loop, each whole and with its sender's address.
+func TestPackets(t *testing.T) {
+	l := newLoop(t)
+	at := netip.MustParseAddrPort("127.0.0.1:0")
+	var got []string
+	var from netip.AddrPort
+	var in *Packets
+	in, err := l.OpenPackets(at, handler(func(Ready) {
+		var buf [64]byte
+		for {
+			n, who, err := in.Receive(buf[:])
+			if err != nil {
+				if !errors.Is(err, ErrAgain) {
+					t.Error(err)
+				}
+				return
+			}
+			got, from = append(got, string(buf[:n])), who
+		}
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := l.OpenPackets(at, handler(func(Ready) {}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{"one", "two"} {
+		if err := out.Send([]byte(text), in.Addr()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 3 {
+		if err := l.Turn(false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !slices.Equal(got, []string{"one", "two"}) || from != out.Addr() {
+		t.Errorf("got %q from %v, sent from %v", got, from, out.Addr())
+	}
+	in.Close()
+	out.Close()
+	if l.Open() != 0 {
+		t.Errorf("%d sockets are open", l.Open())
+	}
+}
--- a/internal/poll/timer.go
+++ b/internal/poll/timer.go
@@ -62,17 +62,12 @@
 	return t
 }
 
-// next tells how many milliseconds epoll may wait, -1 for without end. It is rounded up: a wait that ended
-// early would be followed by another turn with nothing to do.
-func (h timers) next(now time.Time) int {
+// next tells how long the kernel may wait, below 0 for without end.
+func (h timers) next(now time.Time) time.Duration {
 	if len(h) == 0 {
 		return -1
 	}
-	d := h[0].at.Sub(now)
-	if d <= 0 {
-		return 0
-	}
-	return int(min((d+time.Millisecond-1)/time.Millisecond, time.Hour/time.Millisecond))
+	return min(max(h[0].at.Sub(now), 0), time.Hour)
 }
 
 // fire calls all timers that are due, also those that others arm for now meanwhile.
