A virtual kernel: many hosts in one process, in virtual time, from one seed

Need: tests must provoke machines that fall silent, partitions, storms and shortages, and their result must never vary. Change: internal/vnet is a second poll.Kernel. Hosts have descriptors and limits; links have delay, jitter, loss shown as delay, bandwidth; sockets have bounded buffers. Processes die, machines vanish and come back, sets of hosts are cut off, a process stalls, reads its clock late, runs out of descriptors or ports. One ordered queue of events; one PCG stream for each path and concern, derived from the seed; a hash over all events.

--- /dev/null
+++ b/internal/vnet/kernel.go
@@ -0,0 +1,314 @@
+package vnet
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"ospreyspan/internal/poll"
+)
+
+// kernel is a Host as its process sees it: one life of it. A process that has ended gets nothing done any more.
+type kernel struct {
+	host    *Host
+	life    int
+	handed  int           // events of the present turn
+	lag     time.Duration // by which the clock is read late
+	read    time.Duration // latest time that was read
+	noPorts bool
+}
+
+var _ poll.Kernel = (*kernel)(nil)
+
+func (k *kernel) over() bool { return k.life != k.host.life }
+
+func (k *kernel) Now() time.Time {
+	k.read = max(k.read, k.host.world.now-k.lag)
+	return epoch.Add(k.read)
+}
+
+// Wait never waits: what is not ready now makes the host run again later.
+func (k *kernel) Wait(events []poll.Event, most time.Duration) (int, error) {
+	h := k.host
+	if k.over() {
+		return 0, ErrExit
+	}
+	n := 0
+	if h.woken && n < len(events) {
+		h.woken = false
+		events[n] = poll.Event{Slot: poll.WakeSlot}
+		n++
+	}
+	// Readiness lasts until it is used: what is told stays in the list, behind what has not been told yet.
+	looked := min(len(h.ready), len(events)-n)
+	for _, f := range h.ready[:looked] {
+		a := f.watch()
+		a.queued = false
+		if !a.on {
+			continue
+		}
+		r := f.state()
+		if !wanted(r, a.want) {
+			continue
+		}
+		events[n] = poll.Event{Slot: a.slot, Gen: a.gen, Ready: poll.Ready{
+			Read:   r.Read && a.want&poll.WantRead != 0 || r.Hangup,
+			Write:  r.Write && a.want&poll.WantWrite != 0 || r.Hangup,
+			Hangup: r.Hangup,
+		}}
+		n++
+		a.queued = true
+		h.ready = append(h.ready, f)
+	}
+	h.ready = append(h.ready[:0], h.ready[looked:]...)
+	k.handed = n
+	if n > 0 || most == 0 {
+		return n, nil
+	}
+	h.blocked = true
+	if most > 0 { // epoll counts in whole milliseconds, rounded up
+		h.schedule(h.world.now + (most+time.Millisecond-1)/time.Millisecond*time.Millisecond)
+	}
+	return 0, nil
+}
+
+func (k *kernel) Wake() {
+	if !k.over() {
+		k.host.woken = true
+		k.host.schedule(k.host.world.now)
+	}
+}
+
+func (k *kernel) Close() {}
+
+func (k *kernel) Connect(to netip.AddrPort) (int, error) {
+	h := k.host
+	if k.over() {
+		return -1, unix.ENETDOWN
+	}
+	if k.noPorts {
+		return -1, fmt.Errorf("%w: %w", poll.ErrNoSocket, unix.EADDRNOTAVAIL)
+	}
+	w := h.world
+	far := w.byAddr[to.Addr()]
+	if far == nil {
+		return -1, unix.ENETUNREACH
+	}
+	w.conns++
+	e := &end{
+		conn: &Conn{ID: w.conns, Dialler: h, Listener: far, Port: to.Port()}, path: w.path(h, far),
+		local: netip.AddrPortFrom(h.addr, h.nextPort()), remote: to,
+	}
+	e.watch_.host = h
+	fd, err := h.take(e)
+	if err != nil {
+		return -1, fmt.Errorf("%w: %w", poll.ErrNoSocket, err)
+	}
+	e.send(segSyn, nil)
+	return fd, nil
+}
+
+func (k *kernel) Listen(at netip.AddrPort, receive int) (int, error) {
+	h := k.host
+	if k.over() {
+		return -1, unix.ENETDOWN
+	}
+	if at.Addr() != h.addr && !at.Addr().IsUnspecified() {
+		return -1, unix.EADDRNOTAVAIL
+	}
+	port := at.Port()
+	if port == 0 {
+		port = h.nextPort()
+	}
+	if h.listeners[port] != nil {
+		return -1, unix.EADDRINUSE
+	}
+	l := &listener{port: port, receive: receive}
+	l.watch_.host = h
+	fd, err := h.take(l)
+	if err != nil {
+		return -1, err
+	}
+	h.listeners[port] = l
+	return fd, nil
+}
+
+func (k *kernel) Accept(fd int) (int, error) {
+	l, ok := k.file(fd).(*listener)
+	if !ok {
+		return -1, unix.EINVAL
+	}
+	if len(l.queue) == 0 {
+		return -1, poll.ErrAgain
+	}
+	e := l.queue[0]
+	e.watch_.host = k.host
+	conn, err := k.host.take(e)
+	if err != nil {
+		return -1, err
+	}
+	l.queue[0] = nil
+	if l.queue = l.queue[1:]; len(l.queue) == 0 {
+		l.queue = nil
+	}
+	return conn, nil
+}
+
+func (k *kernel) OpenUDP(at netip.AddrPort) (int, error) {
+	h := k.host
+	if k.over() {
+		return -1, unix.ENETDOWN
+	}
+	port := at.Port()
+	if port == 0 {
+		port = h.nextPort()
+	}
+	if h.datagrams[port] != nil {
+		return -1, unix.EADDRINUSE
+	}
+	s := &datagramSocket{at: netip.AddrPortFrom(h.addr, port)}
+	s.watch_.host = h
+	fd, err := h.take(s)
+	if err != nil {
+		return -1, fmt.Errorf("%w: %w", poll.ErrNoSocket, err)
+	}
+	h.datagrams[port] = s
+	return fd, nil
+}
+
+func (k *kernel) Spare() (int, error) {
+	if k.over() {
+		return -1, unix.ENETDOWN
+	}
+	return k.host.take(&spareFile{})
+}
+
+// file returns what a descriptor stands for, nil if it is free or of an earlier life.
+func (k *kernel) file(fd int) file {
+	if k.over() || fd < 0 || fd >= len(k.host.fds) {
+		return nil
+	}
+	return k.host.fds[fd]
+}
+
+// end returns a connection. One that is not there any more stands for one that was reset.
+func (k *kernel) end(fd int) *end {
+	e, _ := k.file(fd).(*end)
+	return e
+}
+
+func (k *kernel) CloseFD(fd int) {
+	f := k.file(fd)
+	if f == nil {
+		return
+	}
+	f.watch().on = false
+	k.host.fds[fd] = nil
+	k.host.free = append(k.host.free, fd)
+	k.host.open--
+	f.close()
+}
+
+func (k *kernel) Watch(fd int, want poll.Interest, slot, gen int32) error {
+	f := k.file(fd)
+	if f == nil {
+		return unix.EBADF
+	}
+	a := f.watch()
+	a.on, a.want, a.slot, a.gen = true, want, slot, gen
+	a.stir(f)
+	return nil
+}
+
+func (k *kernel) Rewatch(fd int, want poll.Interest, _, _ int32) {
+	if f := k.file(fd); f != nil {
+		f.watch().want = want
+		f.watch().stir(f)
+	}
+}
+
+func (k *kernel) Read(fd int, p []byte) (int, error) {
+	if e := k.end(fd); e != nil {
+		return e.read(p)
+	}
+	return 0, unix.ECONNRESET
+}
+
+func (k *kernel) Send(fd int, p []byte) (int, error) {
+	if e := k.end(fd); e != nil {
+		return e.write(p)
+	}
+	return 0, unix.ECONNRESET
+}
+
+func (k *kernel) Receive(fd int, p []byte) (int, netip.AddrPort, error) {
+	s, ok := k.file(fd).(*datagramSocket)
+	if !ok {
+		return 0, netip.AddrPort{}, unix.EBADF
+	}
+	if len(s.queue) == 0 {
+		return 0, netip.AddrPort{}, poll.ErrAgain
+	}
+	d := s.queue[0]
+	s.queue = s.queue[1:]
+	return copy(p, d.data), d.from, nil
+}
+
+func (k *kernel) SendTo(fd int, p []byte, to netip.AddrPort) error {
+	s, ok := k.file(fd).(*datagramSocket)
+	if !ok {
+		return unix.EBADF
+	}
+	s.send(p, to)
+	return nil
+}
+
+func (k *kernel) CloseWrite(fd int) {
+	if e := k.end(fd); e != nil {
+		e.closeWrite()
+	}
+}
+
+func (k *kernel) ResetOnClose(fd int) {
+	if e := k.end(fd); e != nil {
+		e.linger0 = true
+	}
+}
+
+func (k *kernel) Fault(fd int) error {
+	e := k.end(fd)
+	if e == nil {
+		return unix.ECONNRESET
+	}
+	err := e.err
+	e.err = nil
+	return err
+}
+
+func (k *kernel) Idle(fd int) time.Duration {
+	if e := k.end(fd); e != nil {
+		return (k.host.world.now - e.heard).Truncate(time.Millisecond)
+	}
+	return 0
+}
+
+func (k *kernel) Name(fd int) netip.AddrPort {
+	switch f := k.file(fd).(type) {
+	case *end:
+		return f.local
+	case *listener:
+		return netip.AddrPortFrom(k.host.addr, f.port)
+	case *datagramSocket:
+		return f.at
+	}
+	return netip.AddrPort{}
+}
+
+func (k *kernel) Peer(fd int) netip.AddrPort {
+	if e := k.end(fd); e != nil {
+		return e.remote
+	}
+	return netip.AddrPort{}
+}
--- /dev/null
+++ b/internal/vnet/vnet_test.go
@@ -0,0 +1,482 @@
+package vnet
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"pgregory.net/rapid"
+
+	"ospreyspan/internal/poll"
+)
+
+// side is one end of a connection that a test plays.
+type side struct {
+	sock *poll.Socket
+	up   bool
+	got  []byte
+	err  error // the first that was read
+	deaf bool
+	when []time.Time
+	on   *machine
+}
+
+func (s *side) Ready(r poll.Ready) {
+	if !s.up {
+		if s.err = s.sock.Established(); s.err != nil {
+			s.sock.Close()
+			return
+		}
+		s.up = true
+		s.sock.Want(true, false)
+		return
+	}
+	if s.deaf && !r.Hangup {
+		return
+	}
+	buf := make([]byte, 4096)
+	n, err := s.sock.Read(buf)
+	if s.got = append(s.got, buf[:n]...); n > 0 {
+		s.when = append(s.when, s.on.loop.Now())
+	}
+	if err != nil && !errors.Is(err, poll.ErrAgain) {
+		if s.err == nil {
+			s.err = err
+		}
+		s.sock.Want(false, false)
+		if r.Hangup { // it is told without end
+			s.sock.Close()
+		}
+	}
+}
+
+// machine is a host with a loop and what it accepted.
+type machine struct {
+	t     *testing.T
+	w     *World
+	host  *Host
+	loop  *poll.Loop
+	taken []*side
+	n     *poll.Listener
+}
+
+func newMachine(t *testing.T, w *World, name string, last byte, l Limits) *machine {
+	t.Helper()
+	m := &machine{t: t, w: w, host: w.AddHost(name, netip.AddrFrom4([4]byte{10, 0, 0, last}), l)}
+	m.start()
+	return m
+}
+
+func (m *machine) start() {
+	m.t.Helper()
+	err := m.host.Start(func(k poll.Kernel) (func() error, error) {
+		m.loop = poll.NewOn(k, func() {})
+		return func() error { return m.loop.Turn(true) }, nil
+	})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+func (m *machine) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(m.host.Addr(), port) }
+
+func (m *machine) listen(port uint16) {
+	m.t.Helper()
+	n, err := m.loop.Listen(m.at(port), func(s *poll.Socket, last bool) poll.Handler {
+		k := &side{sock: s, up: true, on: m}
+		if last {
+			s.Close()
+		}
+		m.taken = append(m.taken, k)
+		return k
+	})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.n = n
+}
+
+func (m *machine) dial(to netip.AddrPort) *side {
+	m.t.Helper()
+	s := &side{on: m}
+	var err error
+	if s.sock, err = m.loop.Dial(to, s); err != nil {
+		m.t.Fatal(err)
+	}
+	return s
+}
+
+func (m *machine) run(d time.Duration) {
+	m.t.Helper()
+	if err := m.w.Run(d); err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+const ms = time.Millisecond
+
+func delay(d time.Duration) func(_, _ *Host) Link {
+	return func(_, _ *Host) Link { return Link{Delay: d} }
+}
+
+// A connection takes a round trip to come up, a line one way's delay, and the end of sending arrives after the line.
+func TestConnection(t *testing.T) {
+	w := New(1, delay(10*ms))
+	a, b := newMachine(t, w, "a", 1, Limits{}), newMachine(t, w, "b", 2, Limits{})
+	b.listen(80)
+	s := a.dial(b.at(80))
+	a.run(19 * ms)
+	if s.up {
+		t.Fatal("up before a round trip was over")
+	}
+	a.run(1 * ms)
+	if !s.up {
+		t.Fatal("not up after a round trip")
+	}
+	if n, err := s.sock.Write([]byte("hello")); n != 5 || err != nil {
+		t.Fatal(n, err)
+	}
+	s.sock.CloseWrite()
+	a.run(10 * ms)
+	far := b.taken[0]
+	if string(far.got) != "hello" || far.err != io.EOF || far.sock.Peer().Addr() != a.host.Addr() {
+		t.Fatalf("got %q, %v from %v", far.got, far.err, far.sock.Peer())
+	}
+	far.sock.Close()
+	a.run(10 * ms)
+	if s.err != io.EOF {
+		t.Errorf("the far end closed, and %v was read", s.err)
+	}
+	s.sock.Close()
+	if a.host.Open() != 0 || b.host.Open() != 2 { // b: the listener and its reserve
+		t.Errorf("%d and %d descriptors are open", a.host.Open(), b.host.Open())
+	}
+}
+
+// A process that dies resets its connections and refuses new ones; a machine that vanishes gives no sign, and its old
+// connections are reset once it is back.
+func TestDeath(t *testing.T) {
+	w := New(1, delay(ms))
+	a, b := newMachine(t, w, "a", 1, Limits{}), newMachine(t, w, "b", 2, Limits{})
+	b.listen(80)
+	s := a.dial(b.at(80))
+	a.run(10 * ms)
+	b.host.Kill()
+	a.run(ms)
+	if !errors.Is(s.err, unix.ECONNRESET) {
+		t.Errorf("its process died: %v", s.err)
+	}
+	s = a.dial(b.at(80))
+	a.run(10 * ms)
+	if !errors.Is(s.err, unix.ECONNREFUSED) {
+		t.Errorf("nobody listens: %v", s.err)
+	}
+	b.start()
+	b.listen(80)
+	s = a.dial(b.at(80))
+	a.run(10 * ms)
+	b.host.Vanish()
+	_, _ = s.sock.Write([]byte("hello"))
+	late := a.dial(b.at(80))
+	a.run(5 * time.Second)
+	if s.err != nil || late.up || late.err != nil {
+		t.Fatalf("a machine that vanished gave a sign: %v, %v", s.err, late.err)
+	}
+	b.host.Return()
+	b.start()
+	b.listen(80)
+	a.run(30 * time.Second)
+	if !errors.Is(s.err, unix.ECONNRESET) {
+		t.Errorf("a connection of the earlier life: %v", s.err)
+	}
+	if !late.up {
+		t.Errorf("a SYN was not sent again: %v", late.err)
+	}
+	if got := b.taken[len(b.taken)-1].got; len(got) != 0 {
+		t.Errorf("the new process got %q", got)
+	}
+}
+
+// What was sent across a partition arrives after it heals, once and in order; overlapping ones heal one by one. One
+// that heals while a connection is being made lets it come up.
+func TestPartition(t *testing.T) {
+	w := New(1, delay(ms))
+	a, b := newMachine(t, w, "a", 1, Limits{}), newMachine(t, w, "b", 2, Limits{})
+	b.listen(80)
+	s := a.dial(b.at(80))
+	a.run(10 * ms)
+	one := w.Cut([]*Host{a.host}, []*Host{b.host})
+	two := w.Cut([]*Host{b.host}, []*Host{a.host})
+	for i := range 5 {
+		_, _ = s.sock.Write(fmt.Appendf(nil, "%d", i))
+		a.run(100 * ms)
+	}
+	mid := a.dial(b.at(80))
+	one.Heal()
+	one.Heal()
+	a.run(2 * time.Second)
+	if len(b.taken[0].got) != 0 || mid.up {
+		t.Fatal("the second partition carried")
+	}
+	two.Heal()
+	a.run(3 * time.Second)
+	if string(b.taken[0].got) != "01234" || !mid.up {
+		t.Errorf("after healing: %q, the connection that was being made is up: %v", b.taken[0].got, mid.up)
+	}
+}
+
+// A far end that does not read shuts the window: sends fall short, and go on once it reads.
+func TestBackPressure(t *testing.T) {
+	w := New(1, delay(ms))
+	a, b := newMachine(t, w, "a", 1, Limits{SendBuffer: 1000}), newMachine(t, w, "b", 2, Limits{})
+	b.listen(80)
+	s := a.dial(b.at(80))
+	a.run(10 * ms)
+	far := b.taken[0]
+	far.deaf = true
+	far.sock.Want(false, false)
+	text := bytes.Repeat([]byte("x"), 100000)
+	n, err := s.sock.Write(text)
+	if err != nil || n <= 1000 || n >= len(text) {
+		t.Fatalf("wrote %d, %v", n, err)
+	}
+	if again, _ := s.sock.Write(text); again != 0 {
+		t.Fatalf("wrote %d more", again)
+	}
+	told := false
+	s.sock.SetHandler(ready(func(r poll.Ready) {
+		if r.Write {
+			told = true
+			s.sock.Want(false, false)
+		}
+	}))
+	s.sock.Want(false, true)
+	a.run(time.Second)
+	if told {
+		t.Fatal("room was told of while nothing was read")
+	}
+	far.deaf = false
+	far.sock.Want(true, false)
+	a.run(time.Second)
+	if !told || len(far.got) != n {
+		t.Errorf("told of room: %v; %d of %d arrived", told, len(far.got), n)
+	}
+}
+
+type ready func(poll.Ready)
+
+func (f ready) Ready(r poll.Ready) { f(r) }
+
+// A process that has used up its descriptors can open none; the listener's reserve still takes one connection.
+func TestDescriptors(t *testing.T) {
+	w := New(1, nil)
+	a, b := newMachine(t, w, "a", 1, Limits{Descriptors: 2}), newMachine(t, w, "b", 2, Limits{Descriptors: 3})
+	b.listen(80)
+	first, second := a.dial(b.at(80)), a.dial(b.at(80))
+	if _, err := a.loop.Dial(b.at(80), &side{on: a}); !errors.Is(err, poll.ErrNoSocket) {
+		t.Errorf("a third descriptor of two: %v", err)
+	}
+	a.run(10 * ms)
+	if len(b.taken) != 2 || !first.up || second.err == nil || b.host.Open() != 3 {
+		t.Errorf("%d taken, the second heard %v, %d open", len(b.taken), second.err, b.host.Open())
+	}
+	first.sock.Close()
+	a.host.ExhaustPorts(true)
+	if _, err := a.loop.Dial(b.at(80), &side{on: a}); !errors.Is(err, poll.ErrNoSocket) {
+		t.Errorf("out of ports: %v", err)
+	}
+}
+
+// A process that is stalled gets what came meanwhile, afterwards; one whose clock is read late fires timers late.
+func TestStallAndLateClock(t *testing.T) {
+	w := New(1, delay(ms))
+	a, b := newMachine(t, w, "a", 1, Limits{}), newMachine(t, w, "b", 2, Limits{})
+	b.listen(80)
+	s := a.dial(b.at(80))
+	a.run(10 * ms)
+	b.host.Stall(300 * ms)
+	begin := w.Now()
+	_, _ = s.sock.Write([]byte("x"))
+	a.run(299 * ms)
+	if len(b.taken[0].got) != 0 {
+		t.Fatal("it ran while it was stalled")
+	}
+	a.run(10 * ms)
+	if at := b.taken[0].when; len(at) != 1 || at[0].Sub(begin) != 300*ms {
+		t.Errorf("it read at %v", at)
+	}
+	var fired time.Duration
+	timer := poll.Timer{Fire: func() { fired = w.Now().Sub(begin) }}
+	begin = w.Now()
+	b.loop.Arm(&timer, begin.Add(100*ms))
+	b.host.ClockLag(50 * ms)
+	_, _ = s.sock.Write([]byte("x"))
+	a.run(time.Second)
+	if fired < 150*ms || fired > 152*ms {
+		t.Errorf("a timer of 100 ms by a clock that is 50 ms late fired after %v", fired)
+	}
+}
+
+// Bandwidth spaces segments out; datagrams are lost where segments of a connection are late.
+func TestBandwidthAndLoss(t *testing.T) {
+	w := New(1, func(_, _ *Host) Link { return Link{Delay: ms, Bandwidth: 1000} })
+	a, b := newMachine(t, w, "a", 1, Limits{}), newMachine(t, w, "b", 2, Limits{})
+	b.listen(80)
+	s := a.dial(b.at(80))
+	a.run(time.Second)
+	begin := w.Now()
+	for range 3 {
+		_, _ = s.sock.Write(bytes.Repeat([]byte("x"), 1000-segmentHead))
+	}
+	a.run(10 * time.Second)
+	for i, at := range b.taken[0].when {
+		if want := time.Duration(i+1)*time.Second + ms; at.Sub(begin) != want {
+			t.Errorf("segment %d after %v, want %v", i, at.Sub(begin), want)
+		}
+	}
+	w = New(1, func(_, _ *Host) Link { return Link{Delay: ms, Loss: 0.5} })
+	a, b = newMachine(t, w, "a", 1, Limits{}), newMachine(t, w, "b", 2, Limits{})
+	got := 0
+	var in *poll.Packets
+	in, err := b.loop.OpenPackets(b.at(53), ready(func(poll.Ready) {
+		var buf [16]byte
+		for {
+			if _, from, err := in.Receive(buf[:]); err != nil || from.Addr() != a.host.Addr() {
+				return
+			}
+			got++
+		}
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := a.loop.OpenPackets(a.at(0), ready(func(poll.Ready) {}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 200 {
+		if err := out.Send([]byte("x"), in.Addr()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a.run(time.Second)
+	if got < 70 || got > 130 {
+		t.Errorf("of 200 datagrams over a link that loses half, %d arrived", got)
+	}
+}
+
+// A loop that spins is a failure of the run and not a run without end; so is a step that fails.
+func TestSpinningLoopFails(t *testing.T) {
+	w := New(7, nil)
+	h := w.AddHost("spins", netip.MustParseAddr("10.0.0.1"), Limits{})
+	_ = h.Start(func(k poll.Kernel) (func() error, error) {
+		l := poll.NewOn(k, func() {})
+		return func() error { return l.Turn(false) }, nil
+	})
+	var f *Failure
+	if err := w.Run(time.Second); !errors.As(err, &f) || f.Seed != 7 || !strings.Contains(err.Error(), "spins") || len(f.Last) == 0 {
+		t.Errorf("a loop that spins: %v", err)
+	}
+}
+
+// Whatever two processes do to a connection and whatever the network does to them, each reads what the other wrote, in
+// order, without a gap; and an undisturbed one reads all of it.
+func TestStreamsAreWhole(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		loss := rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(r, "loss")
+		w := New(rapid.Uint64().Draw(r, "seed"), func(_, _ *Host) Link {
+			return Link{Delay: 3 * ms, Jitter: 5 * ms, Loss: loss, Bandwidth: 200e3}
+		})
+		a, b := newMachine(t, w, "a", 1, Limits{SendBuffer: 500}), newMachine(t, w, "b", 2, Limits{SendBuffer: 300})
+		b.listen(80)
+		near := a.dial(b.at(80))
+		for range 20 { // a SYN may get lost a few times
+			if a.run(5 * time.Second); near.up && len(b.taken) > 0 {
+				break
+			}
+		}
+		far := b.taken[0]
+		var sent [2][]byte
+		var cuts []*Partition
+		broken := false
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			i := rapid.IntRange(0, 1).Draw(r, "side")
+			s := [2]*side{near, far}[i]
+			switch rapid.IntRange(0, 9).Draw(r, "step") {
+			case 0, 1, 2, 3:
+				text := make([]byte, rapid.IntRange(1, 3000).Draw(r, "size"))
+				for j := range text {
+					text[j] = byte(len(sent[i]) + j)
+				}
+				if n, err := s.sock.Write(text); err == nil {
+					sent[i] = append(sent[i], text[:n]...)
+				}
+			case 4:
+				cuts = append(cuts, w.Cut([]*Host{a.host}, []*Host{b.host}))
+			case 5:
+				for _, c := range cuts {
+					c.Heal()
+				}
+			case 6:
+				s.deaf = !s.deaf
+				s.sock.Want(!s.deaf, false)
+			case 7:
+				b.host.Stall(20 * ms)
+			case 8:
+				if rapid.IntRange(0, 9).Draw(r, "reset") == 0 {
+					s.sock.Reset()
+					broken = true
+				}
+			default:
+				a.run(time.Duration(rapid.IntRange(1, 500).Draw(r, "ms")) * ms)
+			}
+		}
+		for _, c := range cuts {
+			c.Heal()
+		}
+		for _, s := range []*side{near, far} {
+			s.deaf = false
+			s.sock.Want(true, false)
+		}
+		a.run(30 * time.Minute)
+		for i, s := range []*side{far, near} {
+			if !bytes.HasPrefix(sent[i], s.got) {
+				r.Fatalf("side %d read %d bytes that are not what was written", i, len(s.got))
+			}
+			if !broken && len(s.got) != len(sent[i]) {
+				r.Fatalf("side %d read %d of %d bytes", i, len(s.got), len(sent[i]))
+			}
+		}
+	})
+}
+
+// The same seed is the same trace; another one is another.
+func TestSameSeedSameTrace(t *testing.T) {
+	run := func(seed uint64) uint64 {
+		w := New(seed, func(_, _ *Host) Link { return Link{Delay: ms, Jitter: 3 * ms, Loss: 0.1} })
+		a, b := newMachine(t, w, "a", 1, Limits{}), newMachine(t, w, "b", 2, Limits{})
+		b.listen(80)
+		var all []*side
+		for range 20 {
+			all = append(all, a.dial(b.at(80)))
+		}
+		for range 20 {
+			for _, s := range all {
+				if s.up && s.err == nil {
+					_, _ = s.sock.Write([]byte("line"))
+				}
+			}
+			a.run(100 * ms)
+		}
+		return w.TraceSum()
+	}
+	if run(1) != run(1) || run(1) == run(2) {
+		t.Error("the trace does not follow from the seed alone")
+	}
+}
