The same run twice is the same run: no order of maps; one whole proxy as a package

Need: the emulator runs the real program, and a run that repeats from its seed must not depend on the order of a map. It also needs the program without its process: loop, engine and front together. Change: sessions are a table with places; Shutdown, recall, a whole list's deletions and the messages about bad settings go in order. internal/instance is one proxy on a loop, for the program and the emulator alike. Times found by experiment are proxy.Tuning, so that an experiment can set them. A planned stop now moves standing clients in the table's order, where the order was a map's before.

--- a/cmd/ospreyspan/config.go
+++ b/cmd/ospreyspan/config.go
@@ -122,13 +122,16 @@
 	if json.Unmarshal(text, &all) != nil {
 		return err
 	}
-	for name, to := range map[string]any{
-		"name": new(string), "listen": new(netip.AddrPort), "discovery": new(netip.AddrPort), "seed": new(seed),
-		"limits": new(limits), "known": new(routes.List),
+	for _, f := range []struct {
+		name string
+		to   any
+	}{
+		{"name", new(string)}, {"listen", new(netip.AddrPort)}, {"discovery", new(netip.AddrPort)}, {"seed", new(seed)},
+		{"limits", new(limits)}, {"known", new(routes.List)},
 	} {
-		if raw, ok := all[name]; ok {
-			if e := json.Unmarshal(raw, to); e != nil {
-				return fmt.Errorf("%s: %w", name, e)
+		if raw, ok := all[f.name]; ok {
+			if e := json.Unmarshal(raw, f.to); e != nil {
+				return fmt.Errorf("%s: %w", f.name, e)
 			}
 		}
 	}
--- a/cmd/ospreyspan/main.go
+++ b/cmd/ospreyspan/main.go
@@ -14,9 +14,8 @@
 	"sync/atomic"
 	"syscall"
 
+	"ospreyspan/internal/instance"
 	"ospreyspan/internal/poll"
-	"ospreyspan/internal/proxy"
-	"ospreyspan/internal/stats"
 )
 
 func main() {
@@ -57,22 +56,19 @@
 	runtime.GOMAXPROCS(1) // one core is all there is; a second thread of Go's would only be switched to
 	limitMemory(c)
 	logger := log.New(out, "", 0)
-	count := &stats.Counters{}
 	var (
-		sig    signals
-		engine *proxy.Engine
-		front  *proxy.Lines
-		done   bool
+		sig   signals
+		proxy *instance.Instance
 	)
 	loop, err := poll.New(func() {
 		if sig.print.Swap(false) {
-			count.Print(out)
+			proxy.Count.Print(out)
 		}
 		if sig.reload.Swap(false) {
-			c = reload(c, env, engine, front, logger)
+			c = reload(c, env, proxy, logger)
 		}
 		if sig.stop.Swap(false) {
-			front.Drain(func() { done = true })
+			proxy.Drain()
 		}
 	})
 	if err != nil {
@@ -80,25 +76,19 @@
 	}
 	defer loop.Close()
 	sig.watch(loop) // before clients are taken: a signal that came earlier would end the process
-	engine, err = proxy.NewEngine(proxy.EngineConfig{
-		Loop: loop, Settings: c.settings, Known: &c.Known, Discovery: c.Discovery, Seed: uint64(c.Seed),
-		Count: count, Log: logger,
+	proxy, err = instance.New(loop, instance.Config{
+		Name: c.Name, Listen: c.Listen, Discovery: c.Discovery, Seed: uint64(c.Seed), Sockets: c.Limits.Sockets,
+		Known: &c.Known, Settings: c.settings, Log: logger,
 	})
 	if err != nil {
 		return err
 	}
-	front = proxy.NewLines(engine, c.Limits.Sockets)
-	if err := front.Listen(c.Listen); err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	logger.Printf("%s: serving at %s", c.Name, c.Listen)
-	for !done {
-		engine.Deliver()
-		if err := loop.Turn(!engine.Pending()); err != nil {
+	for !proxy.Done() {
+		if err := proxy.Turn(); err != nil {
 			return err
 		}
 	}
-	count.Print(out)
+	proxy.Count.Print(out)
 	return nil
 }
 
@@ -111,7 +101,7 @@
 
 // reload takes what a replaced configuration may change while the program serves, and returns the one in force.
 // One that can't be used changes nothing at all. Connections, whatever their state, go on.
-func reload(old *config, env func(string) string, e *proxy.Engine, f *proxy.Lines, logger *log.Logger) *config {
+func reload(old *config, env func(string) string, i *instance.Instance, logger *log.Logger) *config {
 	c, err := reloadConfig(env)
 	if err != nil {
 		logger.Printf("reload: the old configuration stays: %v", err)
@@ -131,8 +121,7 @@
 	// What a later reload is compared with is what runs, not what the file said in between.
 	c.Name, c.Listen, c.Settings, c.settings = old.Name, old.Listen, old.Settings, old.settings
 	limitMemory(c)
-	f.SetSockets(c.Limits.Sockets)
-	e.SetDiscovery(c.Discovery)
+	i.Reload(c.Discovery, c.Limits.Sockets)
 	logger.Printf("reload: discovery at %s", c.Discovery)
 	return c
 }
--- /dev/null
+++ b/internal/fleet/ledger.go
@@ -0,0 +1,200 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Ledger is what the parts of a fleet saw: service by class and second, answers, and what broke a rule. It belongs to
+// one goroutine.
+type Ledger struct {
+	Classes []Class
+	begin   time.Time
+	end     time.Time   // nothing after this counts
+	asked   [][]float64 // by class and second: connection seconds that were wanted
+	served  [][]float64 // those that were well served
+	SetUp   []Histogram // by class: from a client's line to its UP
+	Message []Histogram // by class: from a line to its answer
+	Count   Tally       // what clients saw
+	Moves   []int       // by second
+	told    map[told]time.Time
+	Broken  func(rule string, detail string) // called for what breaks a rule
+}
+
+// Tally counts what clients saw.
+type Tally struct {
+	Clients  int `json:"clients"`  // that came
+	Done     int `json:"done"`     // that had their connection for as long as they wanted it
+	Requests int `json:"requests"` // first lines
+	Up       int `json:"up"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	Silent   int `json:"unanswered"` // requests given up without an answer
+	Lost     int `json:"lost"`       // requests whose connection ended without an answer
+	Unmade   int `json:"unmade"`     // connections to a proxy that never came up, or broke before the line was out
+	Moved    int `json:"moved"`
+	Cut      int `json:"cut"` // standing connections that ended without a word
+	Crossing int `json:"crossing"`
+	Probes   int `json:"probes"`
+}
+
+// told names what discovery told to whom.
+type told struct {
+	proxy netip.Addr
+	relay string
+}
+
+// Histogram is of times, in microseconds, with three significant digits.
+type Histogram struct{ *hdrhistogram.Histogram }
+
+func newHistogram() Histogram {
+	return Histogram{hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+}
+
+func (h Histogram) add(d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), time.Minute.Microseconds())) // in its range by that
+}
+
+// Quantile is the time that a part of them keep, 0 to 1.
+func (h Histogram) Quantile(part float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(100*part)) * time.Microsecond
+}
+
+// NewLedger returns a ledger for a run that begins now and counts for as long.
+func NewLedger(begin time.Time, length time.Duration, classes []Class) *Ledger {
+	l := &Ledger{Classes: classes, begin: begin, end: begin.Add(length), told: make(map[told]time.Time)}
+	n := int(length/time.Second) + 1
+	for range classes {
+		l.asked = append(l.asked, make([]float64, n))
+		l.served = append(l.served, make([]float64, n))
+		l.SetUp = append(l.SetUp, newHistogram())
+		l.Message = append(l.Message, newHistogram())
+	}
+	l.Moves = make([]int, n)
+	l.Broken = func(string, string) {}
+	return l
+}
+
+// Begin and End bound what counts.
+func (l *Ledger) Begin() time.Time { return l.begin }
+
+// End is when nothing counts any more.
+func (l *Ledger) End() time.Time { return l.end }
+
+// spread adds the seconds between two times to the buckets that they fall in.
+func (l *Ledger) spread(to []float64, from, until time.Time) {
+	if from.Before(l.begin) {
+		from = l.begin
+	}
+	if until.After(l.end) {
+		until = l.end
+	}
+	for from.Before(until) {
+		i := int(from.Sub(l.begin) / time.Second)
+		next := l.begin.Add(time.Duration(i+1) * time.Second)
+		if next.After(until) {
+			next = until
+		}
+		to[i] += next.Sub(from).Seconds()
+		from = next
+	}
+}
+
+func (l *Ledger) want(class int, from, until time.Time)  { l.spread(l.asked[class], from, until) }
+func (l *Ledger) serve(class int, from, until time.Time) { l.spread(l.served[class], from, until) }
+
+func (l *Ledger) moved(now time.Time) {
+	l.Count.Moved++
+	if i := int(now.Sub(l.begin) / time.Second); i >= 0 && i < len(l.Moves) {
+		l.Moves[i]++
+	}
+}
+
+// Told takes down that discovery has written to a proxy whether a relay takes new work.
+func (l *Ledger) Told(now time.Time, proxy netip.Addr, relay string, serving bool) {
+	key := told{proxy, relay}
+	if serving {
+		delete(l.told, key)
+	} else if _, known := l.told[key]; !known {
+		l.told[key] = now
+	}
+}
+
+// ToldSince tells since when a proxy knows that a relay takes no new work.
+func (l *Ledger) ToldSince(proxy netip.Addr, relay string) (time.Time, bool) {
+	t, ok := l.told[told{proxy, relay}]
+	return t, ok
+}
+
+// ForgetProxy drops what was told to a proxy that has ended.
+func (l *Ledger) ForgetProxy(proxy netip.Addr) {
+	for k := range l.told { // all that match go, in whatever order
+		if k.proxy == proxy {
+			delete(l.told, k)
+		}
+	}
+}
+
+// Service is the worth of the well-served seconds over that of all that were wanted, of the seconds [from, to). Class -1
+// stands for all classes. It is NaN where nothing was wanted.
+func (l *Ledger) Service(class, from, to int) float64 {
+	asked, served := 0.0, 0.0
+	for c := range l.Classes {
+		if class >= 0 && c != class {
+			continue
+		}
+		for i := max(from, 0); i < min(to, len(l.asked[c])); i++ {
+			asked += l.Classes[c].Worth * l.asked[c][i]
+			served += l.Classes[c].Worth * l.served[c][i]
+		}
+	}
+	if asked == 0 {
+		return math.NaN()
+	}
+	return served / asked
+}
+
+// Seconds is how many seconds the run counts.
+func (l *Ledger) Seconds() int { return len(l.asked[0]) - 1 }
+
+// worstSpan is the window of which the worst one counts.
+const worstSpan = 10
+
+// Worst is the service in the worst window of 10 s, and the second in which that begins. A shorter run is one window.
+func (l *Ledger) Worst() (service float64, from int) {
+	service = math.Inf(1)
+	for i := 0; i+min(worstSpan, l.Seconds()) <= l.Seconds(); i++ {
+		if s := l.Service(-1, i, i+worstSpan); s < service {
+			service, from = s, i
+		}
+	}
+	return service, from
+}
+
+// Goal mixes the whole run (35 parts in 100), the worst window (45) and the worst-served class (20), less 3.2 points for
+// each client being moved once and 2.2 for each request crossing sites once.
+func (l *Ledger) Goal() float64 {
+	worst, _ := l.Worst()
+	class := math.Inf(1)
+	for c := range l.Classes {
+		if s := l.Service(c, 0, l.Seconds()); s < class {
+			class = s
+		}
+	}
+	g := 0.35*l.Service(-1, 0, l.Seconds()) + 0.45*worst + 0.20*class
+	if l.Count.Clients > 0 {
+		g -= 0.032 * float64(l.Count.Moved) / float64(l.Count.Clients)
+	}
+	if l.Count.Requests > 0 {
+		g -= 0.022 * float64(l.Count.Crossing) / float64(l.Count.Requests)
+	}
+	return g
+}
+
+func (l *Ledger) broken(rule, format string, args ...any) {
+	l.Broken(rule, fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/internal/fleet/machine.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Machine is what a relay computes with: cores that are cold after a start, slow for a while or taken by a neighbour,
+// the load of the connections that it holds and the work that has piled up. It has no clock and does no I/O; each call
+// tells the time, which must not run back.
+//
+// Work is counted in seconds of a standard core, load in such seconds a second.
+type Machine struct {
+	cores    int
+	speed    float64 // of a core, where 1 is a standard one
+	service  float64 // work of an average message
+	started  time.Time
+	coldFrom float64
+	warmIn   time.Duration // 0: it is warm
+
+	slow      float64 // times slower than usual, 1 and above
+	neighbour float64 // share of the machine that another program takes
+	load      float64
+	backlog   float64
+	at        time.Time
+
+	fallMultiple float64
+	fallWithin   time.Duration
+	pushed       time.Time // since when it is asked for too much while it is cold; zero: it is not
+}
+
+// MachineConfig is what a Machine is made of.
+type MachineConfig struct {
+	Cores        int
+	Speed        float64
+	Service      float64       // work of an average message, in seconds of a standard core
+	ColdFrom     float64       // part of its capacity with which it starts
+	WarmIn       time.Duration // time after which it has all of it; 0: it is warm from the start
+	FallMultiple float64       // work above this many times the present capacity, while it is cold...
+	FallWithin   time.Duration // ...for this long makes it fall over; 0: it never does
+}
+
+// NewMachine returns a machine that starts now.
+func NewMachine(now time.Time, c MachineConfig) *Machine {
+	return &Machine{
+		cores: c.Cores, speed: c.Speed, service: c.Service, started: now, coldFrom: c.ColdFrom, warmIn: c.WarmIn,
+		slow: 1, at: now, fallMultiple: c.FallMultiple, fallWithin: c.FallWithin,
+	}
+}
+
+// Warmth is the part of its capacity that the machine has by its age, 0 to 1.
+func (m *Machine) Warmth(now time.Time) float64 {
+	age := now.Sub(m.started)
+	if age >= m.warmIn {
+		return 1
+	}
+	return m.coldFrom + (1-m.coldFrom)*float64(age)/float64(m.warmIn)
+}
+
+// Capacity is the work that it can do in a second, now.
+func (m *Machine) Capacity(now time.Time) float64 {
+	return float64(m.cores) * m.speed * m.Warmth(now) / m.slow * (1 - m.neighbour)
+}
+
+// advance lets the backlog grow or shrink up to now. Capacity changes slowly within a step: its mean is near that in
+// the middle.
+func (m *Machine) advance(now time.Time) {
+	d := now.Sub(m.at).Seconds()
+	if d <= 0 {
+		return
+	}
+	mid := m.at.Add(now.Sub(m.at) / 2)
+	m.backlog = max(m.backlog+(m.load-m.Capacity(mid))*d, 0)
+	m.at = now
+}
+
+// AddLoad changes the load that connections ask for; below 0 for one that ends.
+func (m *Machine) AddLoad(now time.Time, load float64) {
+	m.advance(now)
+	m.load = max(m.load+load, 0)
+	if m.load < 1e-9 {
+		m.load = 0 // what floating-point sums leave over must not pass for load
+	}
+}
+
+// AddWork adds work that is done once: setting a connection up, answering a probe.
+func (m *Machine) AddWork(now time.Time, work float64) {
+	m.advance(now)
+	m.backlog += work
+}
+
+// Slow makes it so many times slower than usual; 1 is as usual.
+func (m *Machine) Slow(now time.Time, times float64) {
+	m.advance(now)
+	m.slow = max(times, 1)
+}
+
+// Neighbour has another program take a share of it, 0 to 0.95.
+func (m *Machine) Neighbour(now time.Time, share float64) {
+	m.advance(now)
+	m.neighbour = min(max(share, 0), 0.95)
+}
+
+// Load is the load asked over what it can do.
+func (m *Machine) Load(now time.Time) float64 { return m.load / m.Capacity(now) }
+
+// Asked is the load asked, in standard cores.
+func (m *Machine) Asked() float64 { return m.load }
+
+// Behind is how long the work that has piled up takes.
+func (m *Machine) Behind(now time.Time) time.Duration {
+	m.advance(now)
+	return seconds(m.backlog / m.Capacity(now))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Delay draws how long a message that comes now takes: its own work, the wait for a core that is free (Sakasegawa's
+// approximation for a queue with several servers, drawn from an exponential) and all that has piled up.
+func (m *Machine) Delay(now time.Time, rng *rand.Rand) time.Duration {
+	behind := m.Behind(now)
+	each := m.service * m.slow / m.speed / m.Warmth(now)
+	busy := min(m.Load(now), 0.995)
+	c := float64(m.cores)
+	wait := math.Pow(busy, math.Sqrt(2*(c+1))) / (c * (1 - busy)) * each
+	return behind + seconds(each*(0.5+rng.Float64())+wait*rng.ExpFloat64())
+}
+
+// Fallen tells whether it has been asked for so much while it was cold that it falls over. It must be called at least
+// every 100 ms or so to be near the rule.
+func (m *Machine) Fallen(now time.Time) bool {
+	m.advance(now)
+	if m.fallWithin <= 0 || m.Warmth(now) >= 1 || m.load <= m.fallMultiple*m.Capacity(now) {
+		m.pushed = time.Time{}
+		return false
+	}
+	if m.pushed.IsZero() {
+		m.pushed = now
+	}
+	return now.Sub(m.pushed) >= m.fallWithin
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,85 @@
+// Package instance is one whole proxy on a loop: the engine with its module, the front and the counters. The program runs
+// it on epoll, the emulator on a virtual kernel, unchanged.
+package instance
+
+import (
+	"fmt"
+	"log"
+	"net/netip"
+	"time"
+
+	"ospreyspan/internal/poll"
+	"ospreyspan/internal/proxy"
+	"ospreyspan/internal/routes"
+	"ospreyspan/internal/settings"
+	"ospreyspan/internal/stats"
+)
+
+// Config is what an Instance needs.
+type Config struct {
+	Name      string
+	Listen    netip.AddrPort
+	Discovery netip.AddrPort
+	Seed      uint64
+	Sockets   int          // descriptors that the process may hold; 0: no limit is known
+	Known     *routes.List // the route table as it was last known
+	Settings  *settings.Settings
+	Tuning    *proxy.Tuning // nil: what serves
+	Log       *log.Logger
+}
+
+// Instance is one proxy. It belongs to its loop's goroutine.
+type Instance struct {
+	Count  stats.Counters
+	loop   *poll.Loop
+	engine *proxy.Engine
+	front  *proxy.Lines
+	done   bool
+}
+
+// New starts a proxy on a loop, which stays the caller's.
+func New(loop *poll.Loop, c Config) (*Instance, error) {
+	i := &Instance{loop: loop}
+	var err error
+	i.engine, err = proxy.NewEngine(proxy.EngineConfig{
+		Loop: loop, Settings: c.Settings, Known: c.Known, Discovery: c.Discovery, Seed: c.Seed,
+		Count: &i.Count, Log: c.Log, Tuning: c.Tuning,
+	})
+	if err != nil {
+		return nil, err
+	}
+	i.front = proxy.NewLines(i.engine, c.Sockets)
+	if err := i.front.Listen(c.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	c.Log.Printf("%s: serving at %s", c.Name, c.Listen)
+	return i, nil
+}
+
+// Turn does one turn of the loop: what has happened goes to the module, what it asks for is carried out, and the loop
+// waits for more.
+func (i *Instance) Turn() error {
+	i.engine.Deliver()
+	return i.loop.Turn(!i.engine.Pending())
+}
+
+// Drain begins a planned stop.
+func (i *Instance) Drain() { i.front.Drain(func() { i.done = true }) }
+
+// Done tells whether a planned stop is over.
+func (i *Instance) Done() bool { return i.done }
+
+// Reload moves the watch to another address of discovery and changes the limit of descriptors.
+func (i *Instance) Reload(discovery netip.AddrPort, sockets int) {
+	i.front.SetSockets(sockets)
+	i.engine.SetDiscovery(discovery)
+}
+
+// Audit checks the books; see proxy.Lines.
+func (i *Instance) Audit() error { return i.front.Audit() }
+
+// Idle tells whether no client is left.
+func (i *Instance) Idle() bool { return i.front.Idle() }
+
+// Longest is the longest time that a planned stop may take.
+func Longest(s *settings.Settings) time.Duration { return proxy.Longest(s) }
--- a/internal/poll/listener.go
+++ b/internal/poll/listener.go
@@ -85,6 +85,9 @@
 // Addr is the address at which it listens.
 func (n *Listener) Addr() netip.AddrPort { return n.sock.Name() }
 
+// Closed tells whether Close was called.
+func (n *Listener) Closed() bool { return n.sock.fd < 0 }
+
 // Close stops listening.
 func (n *Listener) Close() {
 	n.unhoard()
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -5,6 +5,7 @@
 
 	"ospreyspan/balance"
 	"ospreyspan/internal/poll"
+	"ospreyspan/internal/settings"
 )
 
 const (
@@ -14,11 +15,7 @@
 	// the most, and what the platform adds.
 	longestCounted = 3 * time.Second
 	killAfter      = 700 * time.Millisecond
-	// The last moves go out this long before SIGKILL, and the last answers; then the program ends. The moves are
-	// late and close together: in a rolling restart the proxy that stopped before this one is not back sooner, and
-	// until then those who are sent away may have nowhere to go.
-	movesSpan   = 1700 * time.Millisecond
-	movesDone   = 850 * time.Millisecond
+	// The last answers go out this long before SIGKILL, and then the program ends.
 	answersDone = 750 * time.Millisecond
 	ends        = 350 * time.Millisecond
 	drainStep   = 20 * time.Millisecond
@@ -36,17 +33,22 @@
 	done  func()
 }
 
+// Longest is the time from SIGTERM to SIGKILL, by the platform's rule.
+func Longest(set *settings.Settings) time.Duration {
+	longest := time.Duration(0)
+	for _, w := range set.Waits {
+		longest = max(longest, min(w, longestCounted))
+	}
+	return longest + killAfter
+}
+
 // Drain begins a planned stop; done is called when no client is left, or time is.
 func (f *Lines) Drain(done func()) {
 	if f.drain.on {
 		return
 	}
-	longest := time.Duration(0)
-	for _, w := range f.set.Waits {
-		longest = max(longest, min(w, longestCounted))
-	}
 	now := f.loop.Now()
-	f.drain = drain{on: true, begin: now, kill: now.Add(longest + killAfter), done: done}
+	f.drain = drain{on: true, begin: now, kill: now.Add(Longest(f.set)), done: done}
 	f.drain.timer.Fire = f.drainStep
 	f.log.Printf("stopping: %d sessions", len(f.sessions))
 	f.loop.After(&f.drain.timer, drainStep)
@@ -69,7 +71,7 @@
 
 // idle tells whether nobody is left but connections that have asked for nothing.
 func (f *Lines) idle() bool {
-	for s := range f.sessions {
+	for _, s := range f.sessions {
 		if s.state != opening {
 			return false
 		}
@@ -80,30 +82,26 @@
 // moveSome moves as many standing connections as keeps their number falling evenly. While new clients may still
 // come nobody is moved: who was sent away then would come back here, and be moved again.
 func (f *Lines) moveSome(now time.Time) {
-	if now.Sub(f.drain.begin) < lateClients || now.Before(f.drain.kill.Add(-movesDone-movesSpan)) {
+	t := &f.engine.tuning
+	if now.Sub(f.drain.begin) < lateClients || now.Before(f.drain.kill.Add(-t.MovesDone-t.MovesSpan)) {
 		return
 	}
-	n := 0
-	for s := range f.sessions {
+	var stand []*session
+	for _, s := range f.sessions {
 		if s.state == standing && !s.gone {
-			n++
+			stand = append(stand, s)
 		}
 	}
-	left := f.drain.kill.Add(-movesDone).Sub(now)
+	n := len(stand)
+	left := f.drain.kill.Add(-t.MovesDone).Sub(now)
 	if left > drainStep {
 		f.drain.share += float64(n) * float64(drainStep) / float64(left)
 		n = int(f.drain.share)
 		f.drain.share -= float64(n)
 	}
-	for s := range f.sessions {
-		if n <= 0 {
-			return
-		}
-		if s.state == standing && !s.gone {
-			f.count.Moves++
-			s.Move()
-			s.x.Ended(balance.Cancelled, noReport)
-			n--
-		}
+	for _, s := range stand[:n] {
+		f.count.Moves++
+		s.Move()
+		s.x.Ended(balance.Cancelled, noReport)
 	}
 }
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -4,11 +4,14 @@
 package proxy
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"ospreyspan/balance"
@@ -19,11 +22,8 @@
 )
 
 const (
-	// answerMargin is taken off what the client waits, so that the module's last word reaches it in time: a
-	// machine that shares its cores may keep the process from running for 100 ms and more, and a request that
-	// the module holds until its end would then have no answer. Of a short wait only answerPart is taken.
-	answerMargin = 150 * time.Millisecond
-	answerPart   = 8
+	// answerPart is the part of a short wait that is taken in place of Tuning.AnswerMargin.
+	answerPart = 8
 	// adoptRest lies between two tries to take up a connection that was open before the start.
 	adoptRest = 100 * time.Millisecond
 	// adoptMost is how long such a connection may take to stand again, by the protocol; adoptUnknown is how long
@@ -50,6 +50,7 @@
 	actions   []action
 	leaving   []*Exchange // whose clients left: they go once the module knows
 	broken    bool        // discovery's last answer failed
+	tuning    Tuning
 }
 
 // EngineConfig is what an Engine needs.
@@ -61,6 +62,7 @@
 	Seed      uint64
 	Count     *stats.Counters
 	Log       *log.Logger
+	Tuning    *Tuning // nil: DefaultTuning
 }
 
 // NewEngine returns an Engine whose module has started; its first actions are carried out by Deliver.
@@ -69,6 +71,13 @@
 		loop: c.Loop, set: c.Settings, count: c.Count, log: c.Log,
 		exchanges: make(map[balance.RequestID]*Exchange), ids: make(map[string]struct{}),
 	}
+	e.tuning = DefaultTuning()
+	if c.Tuning != nil {
+		e.tuning = *c.Tuning
+	}
+	if err := e.tuning.Check(); err != nil {
+		return nil, fmt.Errorf("tuning: %w", err)
+	}
 	module, err := balance.New(c.Settings.Config, c.Seed, (*host)(e))
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -142,20 +151,22 @@
 	x := &Exchange{id: e.last, name: o.ID, engine: e, client: c, deadline: e.loop.Now().Add(o.Wait)}
 	x.request = balance.Request{
 		ID: x.id, Class: class, Tenant: -1, Key: o.Key, Again: o.Again,
-		Left: o.Wait - margin(o.Wait),
+		Left: o.Wait - e.margin(o.Wait),
 	}
 	if e.set.Config.Groups {
 		x.request.Group = o.Group
 	}
 	e.exchanges[x.id] = x
 	x.timer.Fire = func() { e.overdue(x) }
-	e.loop.Arm(&x.timer, x.deadline.Add(-margin(o.Wait)/2))
+	e.loop.Arm(&x.timer, x.deadline.Add(-e.margin(o.Wait)/2))
 	return x, nil
 }
 
 // margin is the part of a client's wait that is kept for the answer's way. The module may use what is before
 // it; the engine answers in the module's place when half of it is over.
-func margin(wait time.Duration) time.Duration { return min(answerMargin, wait/answerPart) }
+func (e *Engine) margin(wait time.Duration) time.Duration {
+	return min(e.tuning.AnswerMargin, wait/answerPart)
+}
 
 // release forgets an exchange with which nothing more happens: the one place where its entry and its timer are
 // given back.
@@ -177,9 +188,14 @@
 	x.Left()
 }
 
+// inOrder returns all exchanges, the first one first: what is done to many must not depend on the order of a map.
+func (e *Engine) inOrder() []*Exchange {
+	return slices.SortedFunc(maps.Values(e.exchanges), func(a, b *Exchange) int { return cmp.Compare(a.id, b.id) })
+}
+
 // Shutdown gives every exchange that has no answer yet its final one.
 func (e *Engine) Shutdown(after time.Duration) {
-	for _, x := range e.exchanges {
+	for _, x := range e.inOrder() {
 		if !x.answered {
 			e.count.Shed++
 			x.client.Shed(after)
@@ -267,7 +283,7 @@
 // recall gives up the hops that have not reached a target which takes no new work: one that is still
 // connecting could be sent after the time that the rules leave for that.
 func (e *Engine) recall(id string) {
-	for _, x := range e.exchanges {
+	for _, x := range e.inOrder() {
 		if x.out && !x.standing && x.adopt == "" && x.target.ID == id && x.client.Recall() {
 			x.Ended(balance.NoConnect, noReport)
 		}
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -106,7 +106,7 @@
 
 // session returns the standing session where there is one only.
 func (b *bed) session() *session {
-	for s := range b.front.sessions {
+	for _, s := range b.front.sessions {
 		if s.state == standing {
 			return s
 		}
@@ -135,10 +135,10 @@
 		silent                   int
 	}{
 		{"it gave a sign on this connection", silentLast, silentLast / 2, silentLast / 2, 0, 0},
-		{"it gave a sign on another", silentAfter, silentLast, 0, 0, 0},
-		{"not long enough", silentAfter / 2, silentLast, silentLast, 0, 0},
+		{"it gave a sign on another", b.engine.tuning.SilentAfter, silentLast, 0, 0, 0},
+		{"not long enough", b.engine.tuning.SilentAfter / 2, silentLast, silentLast, 0, 0},
 		{"the check is late", silentLast, 2 * silentLast, 2 * silentLast, 2 * lateCheck, 0},
-		{"silent", silentAfter, silentLast, silentLast, 0, 1},
+		{"silent", b.engine.tuning.SilentAfter, silentLast, silentLast, 0, 1},
 	} {
 		h.asked, h.heard, h.peer.heard, h.check = now.Add(-tt.asked), now.Add(-tt.heard), now.Add(-tt.peer), now.Add(-tt.late)
 		h.quiet()
@@ -150,7 +150,7 @@
 	if silentLast+noteEvery+lateCheck > 7*time.Second {
 		t.Error("silence is seen too late for the rules")
 	}
-	if silentAfter+lateCheck > time.Second {
+	if b.engine.tuning.SilentAfter+lateCheck > time.Second {
 		t.Error("clients of a machine that vanished are without service for over a second after their line")
 	}
 	b.over(client)
@@ -188,7 +188,7 @@
 	c.say(t, "OPEN a k c=c,d=2000\r\n")
 	b.until("the hop", func() bool { return b.count.Hops == 1 })
 	s := func() *session {
-		for s := range b.front.sessions {
+		for _, s := range b.front.sessions {
 			return s
 		}
 		return nil
--- a/internal/proxy/lines.go
+++ b/internal/proxy/lines.go
@@ -20,9 +20,9 @@
 	count    *stats.Counters
 	log      *log.Logger
 	listener *poll.Listener
-	sockets  int // descriptors that the process may hold
-	sessions map[*session]struct{}
-	spare    list.List // sessions to which nothing is owed: before their request or after their last line; oldest first
+	sockets  int        // descriptors that the process may hold
+	sessions []*session // in no order that means anything, but the same in the same run
+	spare    list.List  // sessions to which nothing is owed: before their request or after their last line; oldest first
 	peers    map[string]*peer
 	scratch  []byte
 	line     []byte
@@ -33,7 +33,7 @@
 func NewLines(e *Engine, sockets int) *Lines {
 	f := &Lines{
 		loop: e.loop, engine: e, set: e.set, count: e.count, log: e.log, sockets: sockets,
-		sessions: make(map[*session]struct{}), peers: make(map[string]*peer), scratch: make([]byte, 64<<10),
+		peers: make(map[string]*peer), scratch: make([]byte, 64<<10),
 	}
 	e.prober = f
 	return f
@@ -75,7 +75,8 @@
 	f.count.Connections++
 	s := &session{front: f, link: link{sock: sock}}
 	s.timer.Fire = s.due
-	f.sessions[s] = struct{}{}
+	s.pos = len(f.sessions)
+	f.sessions = append(f.sessions, s)
 	if last || !f.room(spareSockets) {
 		f.turnAway(s)
 		return s
@@ -114,6 +115,15 @@
 	}
 }
 
+// forget takes a session out of the table.
+func (f *Lines) forget(s *session) {
+	last := len(f.sessions) - 1
+	f.sessions[s.pos] = f.sessions[last]
+	f.sessions[s.pos].pos = s.pos
+	f.sessions[last] = nil
+	f.sessions = f.sessions[:last]
+}
+
 // turnAway answers a client for which there is no descriptor. Its line is read first where it is there already:
 // a connection that is closed with unread bytes is reset, and the answer may be lost with that.
 func (f *Lines) turnAway(s *session) {
--- a/internal/proxy/model_test.go
+++ b/internal/proxy/model_test.go
@@ -163,7 +163,7 @@
 	b.t.Helper()
 	b.until("the module to count what the sockets have", func() bool {
 		hops := map[string]int{}
-		for s := range b.front.sessions {
+		for _, s := range b.front.sessions {
 			if s.hop != nil {
 				hops[s.hop.peer.id]++
 			}
--- a/internal/proxy/rude_test.go
+++ b/internal/proxy/rude_test.go
@@ -136,7 +136,7 @@
 	if sent > 8<<20 || stuck == 0 {
 		t.Errorf("%d bytes were taken", sent)
 	}
-	for s := range b.front.sessions {
+	for _, s := range b.front.sessions {
 		if s.spilt > spillMost+len(b.front.scratch) || cap(s.link.rest) > 2*openingRead {
 			t.Errorf("%d bytes read, %d kept", s.spilt, cap(s.link.rest))
 		}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -34,6 +34,7 @@
 	gone  bool          // standing: the client has ended its sending
 	asked int           // lines before the one that opens
 	spilt int           // closing: bytes that were read and dropped
+	pos   int           // index in the front's table
 	spare *list.Element // its place in the front's list of those that may be cut off; nil: not there
 }
 
@@ -304,7 +305,7 @@
 	s.front.keep(s)
 	s.endHop()
 	s.link.close()
-	delete(s.front.sessions, s)
+	s.front.forget(s)
 }
 
 // Hop, Recall, Drop, Shed, Fail and Move are the engine's wishes (see Client).
--- a/internal/proxy/standing.go
+++ b/internal/proxy/standing.go
@@ -8,14 +8,7 @@
 )
 
 const (
-	// silentAfter is how long a line of the client may stay without any sign of the target on any of its
-	// connections. A running target answers at once, also one that is slow at its work; a machine that vanished
-	// gives no other sign, and its clients are without service until they are moved. The rules leave 7 s.
-	silentAfter = 800 * time.Millisecond
-	// quietCheck is how often such a line is looked after: the first time the module is told, and has the target
-	// probed.
-	quietCheck = silentAfter / 2
-	// silentLast is the same where other connections of the target still give signs.
+	// silentLast is how long a line may stay without an answer where other connections of the target still give signs.
 	silentLast = 4 * time.Second
 	// lateCheck is by how much a check may be late and still count: a process that did not run has to read
 	// first what came meanwhile.
@@ -37,7 +30,7 @@
 	if h.asked.IsZero() {
 		h.asked = s.front.loop.Now()
 		if !h.timer.Armed() {
-			h.checkAfter(quietCheck)
+			h.checkAfter(s.front.engine.tuning.SilentAfter / 2)
 		}
 	}
 	if h.link.behind() {
@@ -104,7 +97,8 @@
 	h.s.x.Delay(took)
 }
 
-// quiet looks after a line of the client that has no answer yet.
+// quiet looks after a line of the client that has no answer yet: half-way the module is told, and has the target
+// probed.
 func (h *hop) quiet() {
 	if h.asked.IsZero() {
 		return
@@ -113,7 +107,7 @@
 	now := f.loop.Now()
 	took := now.Sub(h.asked)
 	late := now.Sub(h.check) > lateCheck
-	if !late && h.heard.Before(h.asked) && (took >= silentLast || took >= silentAfter && h.peer.heard.Before(h.asked)) {
+	if !late && h.heard.Before(h.asked) && (took >= silentLast || took >= f.engine.tuning.SilentAfter && h.peer.heard.Before(h.asked)) {
 		f.count.Silent++
 		if !h.peer.silent {
 			h.peer.silent = true
@@ -123,7 +117,7 @@
 		return
 	}
 	h.tell(took)
-	h.checkAfter(quietCheck)
+	h.checkAfter(f.engine.tuning.SilentAfter / 2)
 }
 
 // checkAfter looks after the client's line again later.
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -5,7 +5,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -44,6 +46,7 @@
 	Health Health         `json:"health"`
 	Share  float64        `json:"share"`
 	BornMS int64          `json:"born_ms"`
+	entry  int            // counts the entries; one that changes keeps its number
 }
 
 // Born is the target's last start; zero means long ago.
@@ -54,6 +57,9 @@
 	return time.UnixMilli(t.BornMS)
 }
 
+// Same tells whether two are the same entry of the table, at different times: it has not left the table in between.
+func (t *Target) Same(o *Target) bool { return t.ID == o.ID && t.entry == o.entry }
+
 // List is one answer of discovery.
 type List struct {
 	Seq   int64     `json:"seq"`
@@ -90,13 +96,17 @@
 
 // Table is the route table. It owns its entries; they are not changed once they are in.
 type Table struct {
-	Seq  int64
-	byID map[string]*Target
+	Seq     int64
+	byID    map[string]*Target
+	entries int // that there have been
 }
 
 // Find returns an egress target by its id, nil if the table does not name it.
 func (t *Table) Find(id string) *Target { return t.byID[id] }
 
+// IDs returns the ids of all targets, in order.
+func (t *Table) IDs() []string { return slices.Sorted(maps.Keys(t.byID)) }
+
 // Merge takes a list into the table and returns the ids of those that take no new work since.
 func (t *Table) Merge(l *List) (stopped []string) {
 	if t.byID == nil {
@@ -108,7 +118,7 @@
 		for _, h := range l.Hosts {
 			named[h.ID] = true
 		}
-		for id := range t.byID {
+		for _, id := range slices.Sorted(maps.Keys(t.byID)) {
 			if !named[id] {
 				delete(t.byID, id)
 				stopped = append(stopped, id)
@@ -122,6 +132,12 @@
 		if h.Health == Deleted {
 			delete(t.byID, h.ID)
 		} else {
+			if old := t.byID[h.ID]; old != nil {
+				h.entry = old.entry
+			} else {
+				t.entries++
+				h.entry = t.entries
+			}
 			t.byID[h.ID] = h
 		}
 	}
--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// Sockets is how many the watch has open.
+func (w *Watch) Sockets() int {
+	if w.sock == nil {
+		return 0
+	}
+	return 1
+}
+
 // Stop ends the watch.
 func (w *Watch) Stop() {
 	w.hangUp()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -183,8 +185,8 @@
 	case s.DialTimeout <= 0:
 		return errors.New("Permissions.DialTimeoutUs: not above 0")
 	}
-	for name, i := range s.Classes {
-		if s.Waits[i] <= 0 {
+	for _, name := range slices.Sorted(maps.Keys(s.Classes)) {
+		if s.Waits[s.Classes[name]] <= 0 {
 			return fmt.Errorf("Classes: HardLimitUs of %q: not above 0", name)
 		}
 	}
