--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -349,6 +349,9 @@
 	}
 }
 
+// patience is how much longer than it said a client waits, so that an answer which comes late is seen to be late.
+const patience = 250 * time.Millisecond
+
 func (c *client) ask() {
 	w := c.w
 	c.conns++
@@ -368,7 +371,7 @@
 	w.ledger.Count.Requests++
 	c.state, c.asked, c.moved = clientAsking, w.loop.Now(), false
 	c.sock.Want(true, false)
-	w.loop.After(&c.timer, class.GiveUp)
+	w.loop.After(&c.timer, class.GiveUp+patience)
 }
 
 func (c *client) hear(text []byte) {
--- /dev/null
+++ b/internal/fleet/text.go
@@ -0,0 +1,45 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"ospreyspan/internal/inifile"
+)
+
+// A Range is written 0.2..0.4, Spans 1s..2s; where both ends are the same, one figure will do.
+
+// UnmarshalText reads a Range.
+func (r *Range) UnmarshalText(text []byte) error {
+	return ends(string(text), inifile.Number, &r.From, &r.To)
+}
+
+// Bounds are the range's ends.
+func (r *Range) Bounds() (least, most float64) { return r.From, r.To }
+
+// UnmarshalText reads Spans.
+func (s *Spans) UnmarshalText(text []byte) error {
+	return ends(string(text), inifile.Duration, &s.From, &s.To)
+}
+
+// Bounds are the ends in seconds.
+func (s *Spans) Bounds() (least, most float64) { return s.From.Seconds(), s.To.Seconds() }
+
+func ends[T float64 | time.Duration](text string, read func(string) (T, error), from, to *T) error {
+	first, last, both := strings.Cut(text, "..")
+	if !both {
+		last = first
+	}
+	var err error
+	if *from, err = read(strings.TrimSpace(first)); err != nil {
+		return err
+	}
+	if *to, err = read(strings.TrimSpace(last)); err != nil {
+		return err
+	}
+	if *to < *from {
+		return fmt.Errorf("%s: its end is below its beginning", text)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/inifile/decode.go
@@ -0,0 +1,213 @@
+package inifile
+
+import (
+	"encoding"
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Decode reads a section into a struct, by its fields' tags; a field whose key is not there keeps its value, so that the
+// struct brings the defaults. A section that is missing is as one without keys. Mistakes are kept for Err.
+//
+//	Rate  float64       `ini:"rate" min:"0"`        // numbers may be written as 12%
+//	Wait  time.Duration `ini:"wait" above:"0"`      // a time needs a unit; without a bound it is not below 0
+//	Kind  string        `ini:"kind" one:"a, b"`
+//	Names []string      `ini:"names"`               // separated by commas
+//
+// Types that implement encoding.TextUnmarshaler read themselves; one that has Bounds() (least, most float64) too is
+// checked against min, max and above.
+func (f *File) Decode(section string, into any) {
+	f.taken[section] = true
+	v := reflect.ValueOf(into).Elem()
+	known := make(map[string]bool)
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		key := field.Tag.Get("ini")
+		if key == "" {
+			continue
+		}
+		known[key] = true
+		if !f.HasKey(section, key) {
+			continue
+		}
+		text := f.ini.Section(section).Key(key).String()
+		if err := set(v.Field(i), field.Tag, text); err != nil {
+			f.Complain(section, key, "%v", err)
+		}
+	}
+	for _, key := range f.ini.Section(section).KeyStrings() {
+		if !known[key] {
+			f.Complain(section, key, "unknown key%s", nearest(key, known))
+		}
+	}
+}
+
+// nearest suggests the key that was probably meant.
+func nearest(key string, known map[string]bool) string {
+	best, least := "", 3
+	for k := range known {
+		if d := distance(key, k); d < least || d == least && k < best {
+			best, least = k, d
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf("; perhaps %s", best)
+}
+
+// distance is how many letters must change, come or go to make one word of the other.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		last := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := last
+			if a[i] != b[j] {
+				cost++
+			}
+			last = row[j+1]
+			row[j+1] = min(cost, row[j]+1, last+1)
+		}
+	}
+	return row[len(b)]
+}
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+func set(v reflect.Value, tag reflect.StructTag, text string) error {
+	if text == "" && v.Kind() != reflect.String {
+		return fmt.Errorf("empty")
+	}
+	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		if err := u.UnmarshalText([]byte(text)); err != nil {
+			return err
+		}
+		if b, ok := v.Addr().Interface().(interface{ Bounds() (least, most float64) }); ok {
+			least, most := b.Bounds()
+			if err := within(least, tag, text); err != nil {
+				return err
+			}
+			return within(most, tag, text)
+		}
+		return nil
+	}
+	switch {
+	case v.Type() == durationType:
+		d, err := Duration(text)
+		if err != nil {
+			return err
+		}
+		v.SetInt(int64(d))
+		if err := within(d.Seconds(), tag, text); err != nil {
+			return err
+		}
+		if d < 0 && tag.Get("min") == "" {
+			return fmt.Errorf("%s: a time below 0", text)
+		}
+		return nil
+	case v.Kind() == reflect.String:
+		if one := tag.Get("one"); one != "" {
+			if words := strings.Split(one, ", "); !slices.Contains(words, text) {
+				return fmt.Errorf("%q is none of %s", text, one)
+			}
+		}
+		v.SetString(text)
+	case v.Kind() == reflect.Bool:
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			return fmt.Errorf("%q is neither true nor false", text)
+		}
+		v.SetBool(b)
+	case v.Kind() == reflect.Int:
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return fmt.Errorf("%q is not a whole number", text)
+		}
+		v.SetInt(int64(n))
+		return within(float64(n), tag, text)
+	case v.Kind() == reflect.Float64:
+		n, err := Number(text)
+		if err != nil {
+			return err
+		}
+		v.SetFloat(n)
+		return within(n, tag, text)
+	case v.Kind() == reflect.Slice && v.Type().Elem().Kind() == reflect.String:
+		var words []string
+		for word := range strings.SplitSeq(text, ",") {
+			word = strings.TrimSpace(word)
+			if word == "" {
+				return fmt.Errorf("an empty entry in %q", text)
+			}
+			if slices.Contains(words, word) {
+				return fmt.Errorf("%q stands there twice", word)
+			}
+			words = append(words, word)
+		}
+		v.Set(reflect.ValueOf(words).Convert(v.Type()))
+	default:
+		panic(fmt.Sprintf("inifile: a field of type %s", v.Type())) // the program's mistake, not the file's
+	}
+	return nil
+}
+
+// within checks a figure, of a time its seconds, against the bounds of its tag.
+func within(n float64, tag reflect.StructTag, text string) error {
+	for _, b := range []struct {
+		name string
+		bad  func(bound float64) bool
+		say  string
+	}{
+		{"min", func(bound float64) bool { return n < bound }, "less than"},
+		{"max", func(bound float64) bool { return n > bound }, "more than"},
+		{"above", func(bound float64) bool { return n <= bound }, "not above"},
+	} {
+		word := tag.Get(b.name)
+		if word == "" {
+			continue
+		}
+		bound, err := strconv.ParseFloat(word, 64)
+		if err != nil {
+			panic(fmt.Sprintf("inifile: tag %s:%q", b.name, word))
+		}
+		if b.bad(bound) {
+			return fmt.Errorf("%s: %s %s", text, b.say, word)
+		}
+	}
+	return nil
+}
+
+// Number reads a finite number, which may be a percentage.
+func Number(text string) (float64, error) {
+	word, percent := strings.CutSuffix(text, "%")
+	n, err := strconv.ParseFloat(strings.TrimSpace(word), 64)
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+		return 0, fmt.Errorf("%q is not a number", text)
+	}
+	if percent {
+		n /= 100
+	}
+	return n, nil
+}
+
+// Duration reads a time with its unit, as in 1.5s, 200ms or 1m30s; 0 needs none.
+func Duration(text string) (time.Duration, error) {
+	d, err := time.ParseDuration(text)
+	if err == nil {
+		return d, nil
+	}
+	if _, bare := strconv.ParseFloat(text, 64); bare == nil {
+		return 0, fmt.Errorf("%s: a time needs a unit, as in %ss or %sms", text, text, text)
+	}
+	return 0, fmt.Errorf("%q is not a time, as in 1.5s or 200ms", text)
+}
--- /dev/null
+++ b/internal/inifile/inifile_test.go
@@ -0,0 +1,110 @@
+package inifile
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+type sample struct {
+	Rate  float64       `ini:"rate" min:"0"`
+	Share float64       `ini:"share" min:"0" max:"1"`
+	Wait  time.Duration `ini:"wait" above:"0"`
+	Rest  time.Duration `ini:"rest"`
+	Kind  string        `ini:"kind" one:"slow, silent"`
+	Names []string      `ini:"names"`
+	Count int           `ini:"count" min:"1"`
+	On    bool          `ini:"on"`
+	Kept  float64
+}
+
+func TestDecode(t *testing.T) {
+	f, err := Parse("a.ini", []byte("; a comment\n[run]\nrate = 1.5\nshare = 12%\nwait = 1m30s\nrest = 0\nkind = slow\n"+
+		"names = a, b ,c # three\ncount = 3\non = true\n[site x]\nrate = 2\n[site y y]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := sample{Kept: 7}
+	f.Decode("run", &s)
+	if s.Rate != 1.5 || s.Share != 0.12 || s.Wait != 90*time.Second || s.Kind != "slow" || strings.Join(s.Names, "") != "abc" ||
+		s.Count != 3 || !s.On || s.Kept != 7 {
+		t.Errorf("%+v", s)
+	}
+	if got := strings.Join(f.Kind("site"), "|"); got != "x|y y" {
+		t.Errorf("sites %q", got)
+	}
+	for _, name := range f.Kind("site") {
+		f.Decode("site "+name, &s)
+	}
+	f.Decode("not there", &s)
+	if err := f.Err(); err != nil || s.Rate != 2 {
+		t.Errorf("%v, %+v", err, s)
+	}
+}
+
+// Each mistake is told with its line, and all of them at once.
+func TestMistakes(t *testing.T) {
+	f, err := Parse("b.ini", []byte("[run]\nrate = -1\nshare = 1.5\nwait = 0s\nrest = 5\nkind = fast\nnames = a,,b\ncount = x\n"+
+		"on = perhaps\nraet = 1\n[rnu]\nrate = 1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Decode("run", &sample{})
+	f.Complain("run", "rate", "and more")
+	want := []string{
+		"b.ini:2: [run] rate: -1: less than 0",
+		"b.ini:2: [run] rate: and more",
+		"b.ini:3: [run] share: 1.5: more than 1",
+		"b.ini:4: [run] wait: 0s: not above 0",
+		"b.ini:5: [run] rest: 5: a time needs a unit, as in 5s or 5ms",
+		`b.ini:6: [run] kind: "fast" is none of slow, silent`,
+		`b.ini:7: [run] names: an empty entry in "a,,b"`,
+		`b.ini:8: [run] count: "x" is not a whole number`,
+		`b.ini:9: [run] on: "perhaps" is neither true nor false`,
+		"b.ini:10: [run] raet: unknown key; perhaps rate",
+		"b.ini:11: [rnu] unknown section",
+	}
+	err = f.Err()
+	if err == nil {
+		t.Fatal("no mistake was found")
+	}
+	if got := strings.Split(err.Error(), "\n"); strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Errorf("got:\n%s\nwant:\n%s", err, strings.Join(want, "\n"))
+	}
+}
+
+func TestForm(t *testing.T) {
+	for text, want := range map[string]string{
+		"[a]\n[b]\n[a]\n":    "c.ini:3: [a] the section stands in line 1 already",
+		"[a]\nx=1\nx=2\n":    "c.ini:3: [a] x: the key stands in line 2 already",
+		"x=1\n":              "c.ini:1: x: a key needs a section before it",
+		"[a]\nnothing\n":     `c.ini:2: [a] "nothing" is neither [section] nor key = value`,
+		"[a\n":               "c.ini:1: a section is written [name]",
+		"[a]\n= 3\n[]\ny=\n": "c.ini:2: [a] \"= 3\" is neither [section] nor key = value\nc.ini:3: a section is written [name]",
+	} {
+		if _, err := Parse("c.ini", []byte(text)); err == nil || err.Error() != want {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if _, err := Parse("big.ini", make([]byte, maxFile+1)); err == nil {
+		t.Error("a file without end was read")
+	}
+}
+
+// Whatever the bytes, reading them ends with a value or an error that names the file.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("[run]\nrate = 1\n"))
+	f.Add([]byte("[a]\nx = \"\"\"\nb\n"))
+	f.Add([]byte("[a]\nx = `b\n"))
+	f.Add([]byte("\ufeff[a]\r\nx = 1 # c\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		file, err := Parse("f.ini", text)
+		if err == nil {
+			file.Decode("run", &sample{})
+			err = file.Err()
+		}
+		if err != nil && !strings.HasPrefix(err.Error(), "f.ini") {
+			t.Errorf("%v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/day.go
@@ -0,0 +1,413 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"ospreyspan/internal/fleet"
+	"ospreyspan/internal/instance"
+	"ospreyspan/internal/poll"
+	"ospreyspan/internal/routes"
+	"ospreyspan/internal/stats"
+	"ospreyspan/internal/vnet"
+)
+
+// Options are how a day is played, beyond what the scenario says.
+type Options struct {
+	// Log gets the proxies' logs and, with Trace, each event of the network; nil: nobody does.
+	Log   io.Writer
+	Trace bool
+	// Sabotage, where a test sets it, changes a proxy's configuration before it starts.
+	Sabotage func(c *instance.Config)
+	// Progress is called about every virtual second.
+	Progress func(at, total time.Duration)
+}
+
+const (
+	proxyPort     = 8443
+	relayPort     = 8443
+	discoveryPort = 8500
+)
+
+// stage is a day on the virtual network.
+type stage struct {
+	*day
+	o         Options
+	world     *vnet.World
+	ledger    *fleet.Ledger
+	judge     *judge
+	registry  *fleet.Registry
+	discovery *discoveryNode
+	proxies   []*proxyNode
+	nodes     []*relayNode
+	crowds    []*crowdNode
+	rude      int // connections of bad clients
+	costly    map[string]costly
+	late      time.Duration // news is later by that
+	samples   samples
+	ended     stats.Counters // the counts of proxies that are gone
+	err       error
+}
+
+type costly struct{ part, times float64 }
+
+// node is a loop with a box for what is to be done on it: the loop's own clock and timers are set right only in a turn.
+type node struct {
+	loop *poll.Loop
+	box  []func()
+}
+
+func (n *node) on(k poll.Kernel) *poll.Loop {
+	n.box = nil
+	n.loop = poll.NewOn(k, func() {
+		for len(n.box) > 0 {
+			f := n.box[0]
+			n.box = n.box[1:]
+			f()
+		}
+	})
+	return n.loop
+}
+
+// post has f called in the node's next turn.
+func (n *node) post(f func()) {
+	n.box = append(n.box, f)
+	n.loop.Wake()
+}
+
+type proxyNode struct {
+	name  string
+	site  string
+	host  *vnet.Host
+	loop  *poll.Loop
+	inst  *instance.Instance
+	rng   *rand.Rand // seeds of its lives
+	audit time.Time
+	lives int
+}
+
+func (p *proxyNode) addr() netip.AddrPort { return netip.AddrPortFrom(p.host.Addr(), proxyPort) }
+
+type relayNode struct {
+	node
+	plan  *relayPlan
+	host  *vnet.Host
+	relay *fleet.Relay // nil: none runs
+	rng   *rand.Rand
+	lives int
+	gone  bool // it stays away
+}
+
+type discoveryNode struct {
+	node
+	host *vnet.Host
+	d    *fleet.Discovery
+}
+
+type crowdNode struct {
+	node
+	site  string
+	host  *vnet.Host
+	front *fleet.Front
+	crowd *fleet.Crowd
+}
+
+// newStage builds the day's network with all that is there at its start.
+func newStage(d *day, o Options) (*stage, error) {
+	s := &stage{day: d, o: o, costly: make(map[string]costly), registry: fleet.NewRegistry()}
+	s.world = vnet.New(d.seed, s.link)
+	s.ledger = fleet.NewLedger(s.world.Now().Add(d.s.Run.WarmUp), d.s.Run.Length, d.classes)
+	s.judge = newJudge(s.world, s.ledger, &d.s.Rules)
+	for i := range d.relays {
+		if err := s.addRelay(i); err != nil {
+			return nil, err
+		}
+	}
+	h := s.world.AddHost("discovery", netip.AddrFrom4([4]byte{10, 0, 0, 1}), vnet.Limits{})
+	s.discovery = &discoveryNode{host: h}
+	if err := s.startDiscovery(); err != nil {
+		return nil, err
+	}
+	for i := range d.s.Proxies.Count {
+		if err := s.addProxy(i); err != nil {
+			return nil, err
+		}
+	}
+	for i, site := range d.s.Sites {
+		if err := s.addCrowd(i, site); err != nil {
+			return nil, err
+		}
+	}
+	for i := range d.s.Troubles {
+		s.plot(&d.s.Troubles[i])
+	}
+	s.samples.init(s)
+	return s, nil
+}
+
+// siteOf is the site of a machine, by its address: the second byte counts the sites from 1, and 0 is none.
+func (s *stage) siteOf(a netip.Addr) string {
+	if i := int(a.As4()[1]); i > 0 && i <= len(s.s.Sites) {
+		return s.s.Sites[i-1]
+	}
+	return ""
+}
+
+// at is the address of a machine: its site, what it is and its number.
+func at(site, what, n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, byte(site + 1), byte(what<<4 + n>>8), byte(n)})
+}
+
+// What a machine is, in its address.
+const (
+	atRelay = iota
+	atProxy
+	atClients
+	atRude
+)
+
+func (s *stage) link(from, to *vnet.Host) vnet.Link {
+	a, b := s.siteOf(from.Addr()), s.siteOf(to.Addr())
+	d := s.same
+	if a != b && a != "" && b != "" {
+		d = s.cross[[2]string{a, b}]
+	}
+	for _, h := range []*vnet.Host{from, to} {
+		if s.judge != nil && s.judge.roles[h] == roleClient {
+			d += s.client[s.siteOf(h.Addr())]
+		}
+	}
+	return vnet.Link{
+		Delay: d, Jitter: time.Duration(s.jitter * float64(d)), Loss: s.s.Network.Loss, Bandwidth: s.s.Network.Bandwidth,
+	}
+}
+
+func siteIndex(sites []string, site string) int { return slices.Index(sites, site) }
+
+func (s *stage) addRelay(i int) error {
+	p := &s.relays[i]
+	h := s.world.AddHost(p.id, at(siteIndex(s.s.Sites, p.site), atRelay, i), vnet.Limits{})
+	s.judge.roles[h], s.judge.relayID[h] = roleRelay, p.id
+	n := &relayNode{plan: p, host: h, rng: s.world.Rand("relay " + p.id)}
+	s.nodes = append(s.nodes, n)
+	if p.late {
+		return nil
+	}
+	if err := s.startRelay(n, false); err != nil {
+		return err
+	}
+	s.registry.Set(s.entry(n, 0))
+	return nil
+}
+
+func (s *stage) entry(n *relayNode, bornMS int64) fleet.Entry {
+	return fleet.Entry{
+		Host: n.plan.id, Dial: netip.AddrPortFrom(n.host.Addr(), relayPort).String(), Site: n.plan.site, Kind: n.plan.kind.Name,
+		Health: fleet.Serving, Share: 1, BornMS: bornMS,
+	}
+}
+
+func (s *stage) startRelay(n *relayNode, cold bool) error {
+	n.lives++
+	rng := s.world.Rand(fmt.Sprintf("relay %s %d", n.plan.id, n.lives))
+	return n.host.Start(func(k poll.Kernel) (func() error, error) {
+		loop := n.on(k)
+		c := s.relay(n.plan, cold, rng)
+		c.SiteOf = s.siteOf
+		c.Costly = func(class string) (float64, float64) { return s.costly[class].part, s.costly[class].times }
+		r, err := fleet.NewRelay(loop, netip.AddrPortFrom(n.host.Addr(), relayPort), c, rng, s.ledger)
+		if err != nil {
+			return nil, err
+		}
+		n.relay = r
+		r.Fell = func() { n.host.Kill(); n.relay, n.gone = nil, true }
+		return func() error { return loop.Turn(true) }, nil
+	})
+}
+
+func (s *stage) startDiscovery() error {
+	n := s.discovery
+	return n.host.Start(func(k poll.Kernel) (func() error, error) {
+		loop := n.on(k)
+		c := fleet.DiscoveryConfig{Call: s.s.Discovery.Call, Line: s.s.Discovery.Line, Timeout: s.s.Discovery.Timeout}
+		d, err := fleet.NewDiscovery(loop, netip.AddrPortFrom(n.host.Addr(), discoveryPort), c, s.registry, s.ledger)
+		n.d = d
+		return func() error { return loop.Turn(true) }, err
+	})
+}
+
+// news changes discovery's list after a while.
+func (s *stage) news(after time.Duration, change func()) {
+	s.world.After(after+s.late, func() {
+		change()
+		if s.discovery.host.Up() {
+			s.discovery.post(s.discovery.d.News)
+		}
+	})
+}
+
+func (s *stage) addProxy(i int) error {
+	site := i % len(s.s.Sites)
+	name := fmt.Sprintf("proxy-%03d", i)
+	h := s.world.AddHost(name, at(site, atProxy, i), vnet.Limits{
+		Descriptors: s.s.Proxies.Sockets, EventCost: s.s.Proxies.EventCost,
+	})
+	s.judge.roles[h] = roleProxy
+	p := &proxyNode{name: name, site: s.s.Sites[site], host: h, rng: s.world.Rand("proxy " + name)}
+	s.proxies = append(s.proxies, p)
+	return s.startProxy(p)
+}
+
+func (s *stage) startProxy(p *proxyNode) error {
+	set, err := s.settingsAt(p.site)
+	if err != nil {
+		return err
+	}
+	p.lives++
+	c := instance.Config{
+		Name: p.name, Listen: p.addr(), Discovery: netip.AddrPortFrom(s.discovery.host.Addr(), discoveryPort),
+		Seed: p.rng.Uint64(), Sockets: s.s.Proxies.Sockets, Known: s.known(), Settings: set, Tuning: s.s.Tuning(),
+		Log: log.New(logTo{s, p.name}, "", 0),
+	}
+	if s.o.Sabotage != nil {
+		s.o.Sabotage(&c)
+	}
+	return p.host.Start(func(k poll.Kernel) (func() error, error) {
+		var inst *instance.Instance
+		loop := poll.NewOn(k, func() { inst.Drain() })
+		var err error
+		if inst, err = instance.New(loop, c); err != nil {
+			return nil, err
+		}
+		p.inst, p.loop = inst, loop
+		return func() error { return s.turn(p, inst) }, nil
+	})
+}
+
+// turn is one turn of a proxy, with a look at its books.
+func (s *stage) turn(p *proxyNode, inst *instance.Instance) error {
+	if err := inst.Turn(); err != nil {
+		return err
+	}
+	if inst.Done() {
+		if err := s.judge.exits(p.host); err != nil {
+			s.judge.audit(p.name, err)
+		}
+		s.ended.Add(&inst.Count)
+		p.inst = nil
+		return vnet.ErrExit
+	}
+	if now := s.world.Now(); !now.Before(p.audit) {
+		p.audit = now.Add(s.s.Run.Audit)
+		s.judge.audit(p.name, inst.Audit())
+	}
+	return nil
+}
+
+// known is the list that a proxy starts with.
+func (s *stage) known() *routes.List {
+	l := &routes.List{Whole: true}
+	for i := range s.relays {
+		if s.relays[i].late {
+			continue
+		}
+		n := s.nodes[i]
+		l.Hosts = append(l.Hosts, &routes.Target{
+			ID: n.plan.id, Addr: netip.AddrPortFrom(n.host.Addr(), relayPort), Site: n.plan.site, Kind: n.plan.kind.Name, Share: 1,
+		})
+	}
+	return l
+}
+
+func (s *stage) addCrowd(i int, site string) error {
+	h := s.world.AddHost("clients-"+site, at(i, atClients, i), vnet.Limits{})
+	s.judge.roles[h] = roleClient
+	n := &crowdNode{site: site, host: h}
+	s.crowds = append(s.crowds, n)
+	return h.Start(func(k poll.Kernel) (func() error, error) {
+		loop := n.on(k)
+		n.front = fleet.NewFront(loop, fleet.FrontConfig{Every: s.s.Front.Every, Notice: s.s.Front.Notice}, s.world.Rand("front "+site))
+		for _, p := range s.proxies {
+			n.front.Add(p.addr(), p.site == site)
+		}
+		start := loop.Now()
+		n.crowd = fleet.NewCrowd(loop, fleet.CrowdConfig{
+			Site: site, Traffic: s.traffic, Classes: s.classes, Groups: s.groups, Seed: s.seed,
+			Rate: func(now time.Time) float64 { return s.rate(site, now.Sub(start)) },
+		}, n.front, s.world.Rand("arrivals "+site), s.ledger)
+		return func() error { return loop.Turn(true) }, nil
+	})
+}
+
+// play runs the day to its end and checks that everything was given back.
+func (s *stage) play() error {
+	step := time.Second
+	for at := time.Duration(0); at < s.total; at += step {
+		if err := s.world.Run(min(step, s.total-at)); err != nil {
+			return err
+		}
+		if s.err != nil {
+			return s.err
+		}
+		s.samples.take(s)
+		if s.o.Progress != nil {
+			s.o.Progress(at+step, s.total)
+		}
+	}
+	for _, c := range s.crowds {
+		c.post(c.crowd.Finish)
+	}
+	if err := s.world.Run(0); err != nil {
+		return err
+	}
+	if s.s.Run.CoolDown == 0 {
+		return nil
+	}
+	return s.end()
+}
+
+// end lets what is out come to its end, looks that nothing is left, and stops the proxies in order.
+func (s *stage) end() error {
+	if err := s.world.Run(s.s.Run.CoolDown); err != nil {
+		return err
+	}
+	for _, p := range s.proxies {
+		if p.inst == nil || !p.host.Up() {
+			continue
+		}
+		if s.judge.audit(p.name, p.inst.Audit()); !p.inst.Idle() {
+			s.judge.broken("given-back", "%s: %v after the last client left something of one is still there", p.name, s.s.Run.CoolDown)
+		}
+		p.loop.Wake()
+	}
+	if err := s.world.Run(5 * time.Second); err != nil {
+		return err
+	}
+	for _, p := range s.proxies {
+		if p.inst != nil && p.host.Up() {
+			s.judge.broken("given-back", "%s: a planned stop without clients is not over after 5 s", p.name)
+		}
+	}
+	return s.world.Run(0)
+}
+
+// logTo writes lines of a proxy's log with the virtual time before them.
+type logTo struct {
+	s    *stage
+	name string
+}
+
+func (l logTo) Write(p []byte) (int, error) {
+	if l.s.o.Log == nil {
+		return len(p), nil
+	}
+	if _, err := fmt.Fprintf(l.s.o.Log, "%v %s: %s", l.s.world.Elapsed(), l.name, p); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"reflect"
 )
 
 // Counters are a proxy's counts since its start. They belong to the loop's goroutine.
@@ -20,6 +21,14 @@
 	ProbesFailed, WatchesFailed, Silent, Overdue, Full, Reloads, Garbled int
 }
 
+// Add adds the counts of another proxy, or of another life of one.
+func (c *Counters) Add(o *Counters) {
+	to, from := reflect.ValueOf(c).Elem(), reflect.ValueOf(o).Elem()
+	for i := range to.NumField() { // all are ints, and one that is added later must not be forgotten
+		to.Field(i).SetInt(to.Field(i).Int() + from.Field(i).Int())
+	}
+}
+
 // Print writes the counts on a few lines.
 func (c *Counters) Print(w io.Writer) {
 	fmt.Fprintf(w, "in: connections=%d exchanges=%d standing=%d pings=%d malformed=%d\n",
--- a/internal/vnet/host.go
+++ b/internal/vnet/host.go
@@ -97,6 +97,9 @@
 // Open tells how many descriptors its process holds.
 func (h *Host) Open() int { return h.open }
 
+// Life counts the machine's processes: it changes when one starts or ends.
+func (h *Host) Life() int { return h.life }
+
 // Up tells whether a process runs, on a machine that is reachable.
 func (h *Host) Up() bool { return h.step != nil && !h.dark }
 
@@ -142,6 +145,7 @@
 	h.life++
 	for _, f := range h.fds {
 		if f != nil {
+			f.watch().on = false
 			f.close()
 		}
 	}
@@ -162,6 +166,7 @@
 			}
 		}
 		if f != nil {
+			f.watch().on = false // what still arrives is not for the next process
 			f.close()
 		}
 	}
--- a/internal/vnet/path.go
+++ b/internal/vnet/path.go
@@ -24,6 +24,9 @@
 	synRTO = time.Second
 )
 
+// Reaches tells whether what one host sends gets to another now, and its answer back.
+func (w *World) Reaches(a, b *Host) bool { return w.path(a, b).carries() && w.path(b, a).carries() }
+
 type pair struct{ from, to int32 }
 
 // path is a Link with its state.
