ospreylab compare and fuzz; two faults that fuzzing found are put right

Need: two settings are to be compared with an error, and rules tried under mixtures of troubles that nobody thought of. Change: compare plays pairs by seed and gives Student's 95 % interval and a forest plot; fuzz makes up scenarios, stops at the first broken rule, prints the command that repeats it and shrinks the scenario. The watch's socket is now told first in each turn and read to its end.

--- /dev/null
+++ b/cmd/ospreylab/fuzz.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ospreyspan/internal/lab"
+)
+
+func (a *app) fuzzCommand() *cobra.Command {
+	var (
+		seeds   int
+		minutes float64
+		first   uint64
+		shrink  time.Duration
+		out     string
+	)
+	c := &cobra.Command{
+		Use:   "fuzz",
+		Short: "Play made-up scenarios until one breaks a rule, and make that one small",
+		Long: "Plays scenarios that are made up from seeds, several at a time. At the first broken rule it writes the scenario to --out,\n" +
+			"prints the command that repeats it, then leaves out what it can and writes and prints that too. Exit code 3.",
+		Args: files(0, 0),
+		RunE: func(*cobra.Command, []string) error {
+			if seeds < 1 || minutes <= 0 {
+				return wrong{fmt.Errorf("--seeds %d, --minutes %g: not above 0", seeds, minutes)}
+			}
+			until := time.Now().Add(time.Duration(minutes * float64(time.Minute)))
+			show := terminal(a.errs)
+			found, played, err := lab.Fuzz(first, seeds, until, func(seed uint64) {
+				if show {
+					fmt.Fprintf(a.errs, "\rseed %d ", seed)
+				}
+			})
+			if show {
+				fmt.Fprint(a.errs, "\r\033[K")
+			}
+			if err != nil {
+				return err
+			}
+			if found == nil {
+				fmt.Fprintf(a.out, "%d scenarios from seed %d on: no rule broken\n", played, first)
+				return nil
+			}
+			fmt.Fprintf(a.out, "seed %d breaks %s, after %d scenarios\n", found.Seed, found.Rule, played)
+			if err := a.keep(out, fmt.Sprintf("fuzz-%d.ini", found.Seed), found.Scenario, found.Seed); err != nil {
+				return err
+			}
+			found.Shrink(time.Now().Add(shrink))
+			fmt.Fprintf(a.out, "%d smaller scenarios tried; the smallest has %d troubles, %d proxies, %d relays, %v:\n",
+				found.Tried, len(found.Small.Troubles), found.Small.Proxies.Count, found.Small.Relays.Count, found.Small.Run.Length)
+			if err := a.keep(out, fmt.Sprintf("fuzz-%d-small.ini", found.Seed), found.Small, found.Seed); err != nil {
+				return err
+			}
+			return found.Err
+		},
+	}
+	c.Flags().IntVar(&seeds, "seeds", 1000, "scenarios at the most")
+	c.Flags().Float64Var(&minutes, "minutes", 5, "time at the most")
+	c.Flags().Uint64Var(&first, "first", 1, "the first seed")
+	c.Flags().DurationVar(&shrink, "shrink", time.Minute, "time for making a found scenario small; 0s: not at all")
+	c.Flags().StringVar(&out, "out", ".", "folder for what is found")
+	return c
+}
+
+// keep writes a scenario and prints what repeats it.
+func (a *app) keep(dir, name string, s *lab.Scenario, seed uint64) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	path := filepath.Join(dir, name)
+	if err := os.WriteFile(path, []byte(s.Text()), 0o644); err != nil {
+		return err
+	}
+	fmt.Fprintf(a.out, "  ospreylab run %s --seed %d\n", path, seed)
+	return nil
+}
--- a/cmd/ospreylab/run.go
+++ b/cmd/ospreylab/run.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/pprof"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -31,6 +32,7 @@
 		out   string
 		set   []string
 		trace bool
+		prof  string
 	)
 	c := &cobra.Command{
 		Use:   "run SCENARIO",
@@ -48,6 +50,17 @@
 			if trace {
 				o.Log = a.errs
 			}
+			if prof != "" {
+				f, err := os.Create(prof)
+				if err != nil {
+					return wrong{err}
+				}
+				defer f.Close()
+				if err := pprof.StartCPUProfile(f); err != nil {
+					return err
+				}
+				defer pprof.StopCPUProfile()
+			}
 			begin := time.Now()
 			r, err := lab.Play(s, seed, o)
 			took := time.Since(begin)
@@ -74,6 +87,7 @@
 	c.Flags().StringVar(&out, "out", "", "folder for results, tables and charts")
 	c.Flags().StringArrayVar(&set, "set", nil, "section.key=value, in place of what the scenario says; may be given again")
 	c.Flags().BoolVar(&trace, "proxy-log", false, "show the proxies' own logs, with the virtual time")
+	c.Flags().StringVar(&prof, "cpu-profile", "", "write a profile of the processor's time to this file")
 	return c
 }
 
--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -268,7 +268,7 @@
 	}
 	now, proxy := k.d.loop.Now(), k.sock.Peer().Addr()
 	for _, e := range entries {
-		k.d.ledger.Told(now, proxy, e.Host, e.Health == Serving)
+		k.d.ledger.tell(now, proxy, e.Host, e.Health == Serving)
 	}
 	k.write("200 OK", body)
 }
--- a/internal/fleet/ledger.go
+++ b/internal/fleet/ledger.go
@@ -23,6 +23,8 @@
 	Moves   []int       // by second
 	told    map[told]time.Time
 	Broken  func(rule string, detail string) // called for what breaks a rule
+	// Telling is called when discovery is about to write whether a relay takes new work; nil: it counts as told then.
+	Telling func(proxy netip.Addr, relay string, serving bool)
 }
 
 // Tally counts what clients saw.
@@ -124,6 +126,15 @@
 	}
 }
 
+// tell is Told, or Telling where somebody knows better when it is.
+func (l *Ledger) tell(now time.Time, proxy netip.Addr, relay string, serving bool) {
+	if l.Telling != nil {
+		l.Telling(proxy, relay, serving)
+	} else {
+		l.Told(now, proxy, relay, serving)
+	}
+}
+
 // ToldSince tells since when a proxy knows that a relay takes no new work.
 func (l *Ledger) ToldSince(proxy netip.Addr, relay string) (time.Time, bool) {
 	t, ok := l.told[told{proxy, relay}]
--- a/internal/fleet/text.go
+++ b/internal/fleet/text.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -43,3 +44,11 @@
 	}
 	return nil
 }
+
+// MarshalText writes a Range as UnmarshalText reads it.
+func (r Range) MarshalText() ([]byte, error) {
+	return fmt.Appendf(nil, "%s..%s", strconv.FormatFloat(r.From, 'g', -1, 64), strconv.FormatFloat(r.To, 'g', -1, 64)), nil
+}
+
+// MarshalText writes Spans as UnmarshalText reads them.
+func (s Spans) MarshalText() ([]byte, error) { return fmt.Appendf(nil, "%v..%v", s.From, s.To), nil }
--- /dev/null
+++ b/internal/lab/compare.go
@@ -0,0 +1,227 @@
+package lab
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"image/color"
+	"io"
+	"math"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+)
+
+// Side is one of the two things that are compared.
+type Side struct {
+	Name     string
+	Scenario *Scenario
+}
+
+// Comparison is two sides, played for the same seeds.
+type Comparison struct {
+	A       string    `json:"a"`
+	B       string    `json:"b"`
+	Seeds   []uint64  `json:"seeds"`
+	Figures []Compare `json:"figures"`
+}
+
+// Compare is one figure of a Comparison. The interval is Student's, of the paired differences.
+type Compare struct {
+	Name  string    `json:"name"`
+	A     []float64 `json:"a"` // by seed
+	B     []float64 `json:"b"`
+	MeanA float64   `json:"mean_a"`
+	MeanB float64   `json:"mean_b"`
+	Mean  float64   `json:"mean_difference"` // of B less A
+	Half  float64   `json:"half_interval"`   // the 95 % interval is Mean ± Half
+}
+
+// Clear tells whether the interval leaves 0 out.
+func (c *Compare) Clear() bool { return math.Abs(c.Mean) > c.Half }
+
+// figures are what is compared of a day.
+func (r *Result) figures() (names []string, values []float64) {
+	add := func(name string, v float64) { names, values = append(names, name), append(values, v) }
+	for _, c := range r.Classes {
+		add("service: "+c.Name, c.Service)
+	}
+	add("service: all", r.Service)
+	add("service: worst 10 s", r.Worst)
+	add("goal", r.Goal)
+	per := func(n, of int) float64 { return round(float64(n) / float64(max(of, 1))) }
+	add("moves a client", per(r.Clients.Moved, r.Clients.Clients))
+	add("refusals a client", per(r.Clients.Refused, r.Clients.Clients))
+	add("cut off, of clients", per(r.Clients.Cut, r.Clients.Clients))
+	return names, values
+}
+
+// RunPairs plays both sides for each seed, several days at a time. done is called after each day. The first broken rule,
+// by seed, is the error.
+func RunPairs(a, b Side, seeds []uint64, done func()) (*Comparison, error) {
+	type outcome struct {
+		r   *Result
+		err error
+	}
+	sides := [2]Side{a, b}
+	all := make([][2]outcome, len(seeds))
+	jobs := make(chan [2]int)
+	var wait sync.WaitGroup
+	var one sync.Mutex
+	for range min(runtime.GOMAXPROCS(0), 2*len(seeds)) {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for j := range jobs {
+				r, err := Play(sides[j[1]].Scenario, seeds[j[0]], Options{})
+				all[j[0]][j[1]] = outcome{r, err}
+				if done != nil {
+					one.Lock()
+					done()
+					one.Unlock()
+				}
+			}
+		}()
+	}
+	for i := range seeds {
+		for side := range sides {
+			jobs <- [2]int{i, side}
+		}
+	}
+	close(jobs)
+	wait.Wait()
+	c := &Comparison{A: a.Name, B: b.Name, Seeds: seeds}
+	for i := range all {
+		for side, o := range all[i] {
+			if o.err != nil {
+				return nil, fmt.Errorf("%s: %w", sides[side].Name, o.err)
+			}
+			names, values := o.r.figures()
+			if c.Figures == nil {
+				c.Figures = make([]Compare, len(names))
+			}
+			if len(names) != len(c.Figures) {
+				return nil, fmt.Errorf("%s and %s have different classes", a.Name, b.Name)
+			}
+			for k := range names {
+				f := &c.Figures[k]
+				f.Name = names[k]
+				if side == 0 {
+					f.A = append(f.A, values[k])
+				} else {
+					f.B = append(f.B, values[k])
+				}
+			}
+		}
+	}
+	for i := range c.Figures {
+		c.Figures[i].sum()
+	}
+	return c, nil
+}
+
+// sum works out the means and the interval.
+func (c *Compare) sum() {
+	d := make([]float64, len(c.A))
+	for i := range d {
+		d[i] = c.B[i] - c.A[i]
+	}
+	c.MeanA, c.MeanB = round(stat.Mean(c.A, nil)), round(stat.Mean(c.B, nil))
+	mean, dev := stat.MeanStdDev(d, nil)
+	c.Mean = round(mean)
+	if n := float64(len(d)); n > 1 {
+		t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975)
+		c.Half = round(t * dev / math.Sqrt(n))
+	}
+}
+
+// Markdown writes the table of a comparison.
+func (c *Comparison) Markdown(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# %s against %s\n\n%d pairs of days, seeds %d to %d. The difference is that of the second less the first, with its 95 %% interval.\n\n",
+		c.A, c.B, len(c.Seeds), c.Seeds[0], c.Seeds[len(c.Seeds)-1])
+	f := func(x float64) string { return strconv.FormatFloat(x, 'f', 4, 64) }
+	var rows [][]string
+	for i := range c.Figures {
+		g := &c.Figures[i]
+		word := "no clear difference"
+		if g.Clear() {
+			word = "clear"
+		}
+		rows = append(rows, []string{g.Name, f(g.MeanA), f(g.MeanB), fmt.Sprintf("%+.4f", g.Mean), "± " + f(g.Half), word})
+	}
+	table(&b, []string{"figure", "first", "second", "difference", "95 %", ""}, rows)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// Save writes results.json, table.md, table.csv and forest.svg into a folder.
+func (c *Comparison) Save(dir string) error {
+	return saveAll(dir, map[string]func(w io.Writer) error{
+		"results.json": func(w io.Writer) error {
+			e := json.NewEncoder(w)
+			e.SetIndent("", "  ")
+			return e.Encode(c)
+		},
+		"table.md": c.Markdown, "table.csv": c.csv, "forest.svg": c.forest,
+	})
+}
+
+func (c *Comparison) csv(w io.Writer) error {
+	out := csv.NewWriter(w)
+	if err := out.Write([]string{"figure", "seed", "first", "second"}); err != nil {
+		return err
+	}
+	for _, f := range c.Figures {
+		for i, seed := range c.Seeds {
+			g := func(x float64) string { return strconv.FormatFloat(x, 'g', 6, 64) }
+			if err := out.Write([]string{f.Name, strconv.FormatUint(seed, 10), g(f.A[i]), g(f.B[i])}); err != nil {
+				return err
+			}
+		}
+	}
+	out.Flush()
+	return out.Error()
+}
+
+// forest draws the differences with their intervals.
+func (c *Comparison) forest(w io.Writer) error {
+	p := newChart(c.A+" against "+c.B, "difference, with its 95 % interval", "")
+	var names []string
+	var points plotter.XYs
+	var bars plotter.XErrors
+	for i := range c.Figures {
+		f := &c.Figures[len(c.Figures)-1-i] // the first one on top
+		names = append(names, f.Name)
+		points = append(points, plotter.XY{X: f.Mean, Y: float64(i)})
+		bars = append(bars, struct{ Low, High float64 }{-f.Half, f.Half})
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	scatter.Shape, scatter.Color, scatter.Radius = draw.BoxGlyph{}, palette[0], vg.Points(3)
+	errs, err := plotter.NewXErrorBars(struct {
+		plotter.XYer
+		plotter.XErrorer
+	}{points, bars})
+	if err != nil {
+		return err
+	}
+	errs.Color, errs.Width = palette[0], vg.Points(1.2)
+	zero, err := plotter.NewLine(plotter.XYs{{X: 0, Y: -0.5}, {X: 0, Y: float64(len(names)) - 0.5}})
+	if err != nil {
+		return err
+	}
+	zero.Color, zero.Dashes = color.Gray{100}, []vg.Length{vg.Points(3), vg.Points(3)}
+	p.Add(zero, errs, scatter)
+	p.NominalY(names...)
+	return writeSVG(p, w, chartWide, vg.Length(len(names)+3)*0.9*vg.Centimeter)
+}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -219,6 +219,9 @@
 	}
 }
 
+func defaultClasses() []Class { return []Class{defaultClass("readings"), defaultClass("status")} }
+
+// defaultClass is what a class has that a file says nothing of.
 func defaultClass(name string) Class {
 	ms, s := time.Millisecond, time.Second
 	one := fleet.Range{From: 1, To: 1}
@@ -291,7 +294,7 @@
 		s.Classes = append(s.Classes, c)
 	}
 	if len(s.Classes) == 0 {
-		s.Classes = []Class{defaultClass("readings"), defaultClass("status")}
+		s.Classes = defaultClasses()
 	}
 	for _, n := range f.Kind("wave") {
 		w := Wave{Name: n, For: fleet.Spans{From: 10 * time.Second, To: 10 * time.Second}, Times: fleet.Range{From: 2, To: 2}}
--- a/internal/poll/listener.go
+++ b/internal/poll/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"time"
 )
 
 // Listener accepts connections. It keeps one descriptor in reserve: without it a process that is out of
@@ -12,6 +13,7 @@
 	sock    *Socket
 	reserve int
 	accept  func(s *Socket, last bool) Handler
+	retry   Timer
 }
 
 // receiveBuffer bounds what the kernel keeps of a connection that is not read: some clients send megabytes, and
@@ -26,6 +28,7 @@
 		return nil, fmt.Errorf("listen at %s: %w", at, err)
 	}
 	n := &Listener{accept: accept, reserve: -1}
+	n.retry.Fire = func() { n.sock.Want(true, false) }
 	if n.sock, err = l.add(fd, n, WantRead); err != nil {
 		return nil, err
 	}
@@ -52,6 +55,9 @@
 // acceptBatch bounds the connections taken in one turn, so that a surge does not starve the others.
 const acceptBatch = 64
 
+// shortageRest is how long nothing is accepted when there is no descriptor at all.
+const shortageRest = 20 * time.Millisecond
+
 // Ready accepts what is waiting.
 func (n *Listener) Ready(Ready) {
 	loop := n.sock.loop
@@ -76,6 +82,12 @@
 		if last && n.sock.fd >= 0 {
 			n.hoard()
 		}
+		if errors.Is(err, ErrDescriptors) {
+			// Not even the reserve's place was left, as when the limit was lowered or the whole machine is out: the
+			// listener stays ready, and a loop that looks again at once would do nothing else.
+			n.sock.Want(false, false)
+			loop.After(&n.retry, shortageRest)
+		}
 		if err != nil {
 			return
 		}
@@ -91,5 +103,8 @@
 // Close stops listening.
 func (n *Listener) Close() {
 	n.unhoard()
+	if n.sock.fd >= 0 {
+		n.sock.loop.Disarm(&n.retry)
+	}
 	n.sock.Close()
 }
--- a/internal/poll/loop.go
+++ b/internal/poll/loop.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -29,6 +30,7 @@
 // Loop waits for sockets and timers.
 type Loop struct {
 	kernel Kernel
+	begun  time.Time
 	now    time.Time
 	slots  []slot
 	free   []int32
@@ -36,6 +38,7 @@
 	events [batch]Event
 	wake   func()
 	open   int
+	urgent []*Socket // told first in a turn
 }
 
 // New returns a Loop on epoll. wake is called on the loop after Wake.
@@ -48,7 +51,10 @@
 }
 
 // NewOn returns a Loop on a kernel, which it owns from then on.
-func NewOn(k Kernel, wake func()) *Loop { return &Loop{kernel: k, wake: wake, now: k.Now()} }
+func NewOn(k Kernel, wake func()) *Loop {
+	now := k.Now()
+	return &Loop{kernel: k, wake: wake, begun: now, now: now}
+}
 
 // Close gives back what the loop's kernel holds; its sockets belong to their users.
 func (l *Loop) Close() { l.kernel.Close() }
@@ -69,27 +75,49 @@
 func (l *Loop) Turn(wait bool) error {
 	most := time.Duration(0)
 	if wait {
-		most = l.timers.next(l.kernel.Now())
+		most = l.timers.next(l.kernel.Now().Sub(l.begun))
 	}
 	n, err := l.kernel.Wait(l.events[:], most)
 	if err != nil {
 		return err
 	}
 	l.now = l.kernel.Now()
+	l.tellUrgent(l.events[:n])
 	for i := range n {
 		e := &l.events[i]
 		if e.Slot == WakeSlot {
 			l.wake()
 			continue
 		}
-		if s := l.slots[e.Slot]; s.sock != nil && s.gen == e.Gen {
+		if s := l.slots[e.Slot]; s.sock != nil && s.gen == e.Gen && !s.sock.urgent {
 			s.sock.handler.Ready(e.Ready)
 		}
 	}
-	l.timers.fire(l.now)
+	l.timers.fire(l.now.Sub(l.begun))
 	return nil
 }
 
+// tellUrgent tells the urgent sockets before all others. In a turn with more events than fit there may be one that was
+// not gathered: a socket that waits to read is then asked without it.
+func (l *Loop) tellUrgent(events []Event) {
+	for i := range events {
+		if e := &events[i]; e.Slot != WakeSlot {
+			if s := l.slots[e.Slot]; s.sock != nil && s.gen == e.Gen && s.sock.urgent {
+				s.sock.handler.Ready(e.Ready)
+			}
+		}
+	}
+	if len(events) < batch {
+		return
+	}
+	for _, s := range l.urgent {
+		if s.want == WantRead {
+			s.handler.Ready(Ready{Read: true})
+			return // it may have changed the list
+		}
+	}
+}
+
 // add puts a new descriptor in the table and has the kernel watch it; the Socket owns it from then on.
 func (l *Loop) add(fd int, h Handler, want Interest) (*Socket, error) {
 	var i int32
@@ -112,6 +140,9 @@
 
 // remove takes a socket out of the table and closes it: the one place where a descriptor is given back.
 func (l *Loop) remove(s *Socket) {
+	if s.urgent {
+		l.urgent = slices.DeleteFunc(l.urgent, func(o *Socket) bool { return o == s })
+	}
 	l.slots[s.slot].sock = nil
 	l.slots[s.slot].gen++
 	l.free = append(l.free, s.slot)
--- a/internal/poll/socket.go
+++ b/internal/poll/socket.go
@@ -15,6 +15,7 @@
 	slot    int32
 	want    Interest
 	handler Handler
+	urgent  bool
 }
 
 // Dial starts a connection. It is up, or has failed, once it is ready for writing: Established tells which.
@@ -29,6 +30,15 @@
 // Established tells how a Dial ended.
 func (s *Socket) Established() error { return s.loop.kernel.Fault(s.fd) }
 
+// Urgent has the socket told before all others in each turn, from the next one on: what it brings changes what may be
+// done with them. Its handler must bear being told that it may read when nothing is there.
+func (s *Socket) Urgent() {
+	if !s.urgent && s.fd >= 0 {
+		s.urgent = true
+		s.loop.urgent = append(s.loop.urgent, s)
+	}
+}
+
 // SetHandler hands the socket's events to another handler.
 func (s *Socket) SetHandler(h Handler) { s.handler = h }
 
--- a/internal/poll/timer.go
+++ b/internal/poll/timer.go
@@ -9,7 +9,6 @@
 // embeds it, and whoever arms it disarms it before letting go of it.
 type Timer struct {
 	Fire func()
-	at   time.Time
 	pos  int // index in the heap plus one; 0: not armed
 }
 
@@ -18,12 +17,13 @@
 
 // Arm sets the timer, anew if it is armed.
 func (l *Loop) Arm(t *Timer, at time.Time) {
-	t.at = at
+	due := at.Sub(l.begun)
 	if t.pos > 0 {
+		l.timers[t.pos-1].at = due
 		heap.Fix(&l.timers, t.pos-1)
 		return
 	}
-	heap.Push(&l.timers, t)
+	heap.Push(&l.timers, alarm{due, t})
 }
 
 // After sets the timer to go off after d.
@@ -36,43 +36,50 @@
 	}
 }
 
+// alarm is a timer that is armed. Its time, since the loop began, stands beside the pointer: a heap of ten thousands of
+// timers would otherwise miss the cache at each comparison.
+type alarm struct {
+	at time.Duration
+	t  *Timer
+}
+
 // timers is a heap, the next one first.
-type timers []*Timer
+type timers []alarm
 
 func (h timers) Len() int           { return len(h) }
-func (h timers) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h timers) Less(i, j int) bool { return h[i].at < h[j].at }
 func (h timers) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].pos, h[j].pos = i+1, j+1
+	h[i].t.pos, h[j].t.pos = i+1, j+1
 }
 
 // Push and Pop are for container/heap.
 func (h *timers) Push(x any) {
-	t := x.(*Timer)
-	*h = append(*h, t)
-	t.pos = len(*h)
+	a := x.(alarm)
+	*h = append(*h, a)
+	a.t.pos = len(*h)
 }
 
 func (h *timers) Pop() any {
 	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
+	a := old[len(old)-1]
+	old[len(old)-1] = alarm{}
 	*h = old[:len(old)-1]
-	t.pos = 0
-	return t
+	a.t.pos = 0
+	return a
 }
 
 // next tells how long the kernel may wait, below 0 for without end.
-func (h timers) next(now time.Time) time.Duration {
+func (h timers) next(now time.Duration) time.Duration {
 	if len(h) == 0 {
 		return -1
 	}
-	return min(max(h[0].at.Sub(now), 0), time.Hour)
+	return min(max(h[0].at-now, 0), time.Hour)
 }
 
 // fire calls all timers that are due, also those that others arm for now meanwhile.
-func (h *timers) fire(now time.Time) {
-	for len(*h) > 0 && !(*h)[0].at.After(now) {
-		heap.Pop(h).(*Timer).Fire()
+func (h *timers) fire(now time.Duration) {
+	for len(*h) > 0 && (*h)[0].at <= now {
+		heap.Pop(h).(alarm).t.Fire()
 	}
 }
--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -119,6 +119,9 @@
 			w.fail(err)
 			return
 		}
+		// After a pause of the process news may lie there together with hops that have come up meanwhile: one to a
+		// target that drains must be given up, not sent.
+		sock.Urgent()
 		w.sock, w.state = sock, watchDialing
 		w.loop.After(&w.timer, dialWait)
 		return
@@ -164,16 +167,21 @@
 	}
 }
 
+// read takes all that is there: the rest of a long list would be read a turn later, after hops were sent.
 func (w *Watch) read() {
 	const step = 16 << 10
-	if cap(w.in)-len(w.in) < step {
-		w.in = append(make([]byte, 0, 2*cap(w.in)+step), w.in...)
+	var err error
+	for err == nil && len(w.in) <= maxHead+2*maxBody {
+		if cap(w.in)-len(w.in) < step {
+			w.in = append(make([]byte, 0, 2*cap(w.in)+step), w.in...)
+		}
+		var n int
+		n, err = w.sock.Read(w.in[len(w.in):cap(w.in)])
+		w.in = w.in[:len(w.in)+n]
 	}
-	n, err := w.sock.Read(w.in[len(w.in):cap(w.in)])
 	if errors.Is(err, poll.ErrAgain) {
-		return
+		err = nil
 	}
-	w.in = w.in[:len(w.in)+n]
 	if err != nil && !errors.Is(err, io.EOF) {
 		w.broke(err)
 		return
--- a/internal/vnet/host.go
+++ b/internal/vnet/host.go
@@ -100,6 +100,9 @@
 // Life counts the machine's processes: it changes when one starts or ends.
 func (h *Host) Life() int { return h.life }
 
+// Running tells whether a process runs, reachable or not.
+func (h *Host) Running() bool { return h.step != nil }
+
 // Up tells whether a process runs, on a machine that is reachable.
 func (h *Host) Up() bool { return h.step != nil && !h.dark }
 
