--- a/internal/lab/hard_test.go
+++ b/internal/lab/hard_test.go
@@ -22,6 +22,7 @@
 count = 12
 per_core = 60..60
 most_per_core = 300..300
+group_cost = 0
 [traffic]
 rate = 140
 swing = 0..0
