--- /dev/null
+++ b/internal/lab/decisions.go
@@ -0,0 +1,159 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"ospreyspan/balance"
+)
+
+// Decider drives a decision module alone, without sockets: a host that answers each probe at once and lets connections
+// stand for a while. It is for measuring what a request costs.
+type Decider struct {
+	module *balance.Balancer
+	now    time.Time
+	next   balance.RequestID
+	stand  []balance.RequestID // oldest first
+	sent   balance.RequestID   // placed, and not told yet
+	probes []string
+	most   int
+}
+
+// NewDecider returns one with so many relays, on three sites, and as many standing connections as relays.
+func NewDecider(relays int) (*Decider, error) {
+	d := &Decider{now: time.Unix(1e9, 0), most: max(relays, 30)}
+	module, err := balance.New(balance.Config{
+		Balancers: 3, Zone: "a", Groups: true, MaxAttempts: 5, MaxAdvice: 2 * time.Second, MayProbe: true, MayCancel: true,
+		Classes: []balance.Class{{Aim: 800 * time.Millisecond, Worth: 3, MessageAim: 60 * time.Millisecond}},
+		Rules: balance.Rules{
+			AskWithin: 10 * time.Second, ColdFrom: 0.13, WarmWithin: 24 * time.Second, FallMultiple: 3, FallWithin: 1500 * time.Millisecond,
+		},
+		Prices: balance.Prices{CrossZone: 0.022},
+	}, 1, d)
+	if err != nil {
+		return nil, err
+	}
+	d.module = module
+	module.Start(d.now)
+	list := make([]balance.Backend, relays)
+	for i := range list {
+		list[i] = balance.Backend{ID: fmt.Sprintf("relay-%05d", i), Zone: string("abc"[i%3]), Size: 1}
+	}
+	module.Members(d.now, balance.ListWhole, list)
+	for range 2 * d.most {
+		d.Request()
+	}
+	return d, nil
+}
+
+// Request takes one request through the module: its arrival, the probes that it causes, its placement, and the end of an
+// older connection.
+func (d *Decider) Request() {
+	d.now = d.now.Add(20 * time.Millisecond)
+	d.next++
+	d.sent = 0
+	d.module.Request(d.now, balance.Request{
+		ID: d.next, Key: "k", Group: "g" + strconv.Itoa(int(d.next)%97), Left: 4 * time.Second, Tenant: -1,
+	})
+	for len(d.probes) > 0 {
+		id := d.probes[len(d.probes)-1]
+		d.probes = d.probes[:len(d.probes)-1]
+		load := 0.3 + 0.2*float64(len(id)%7)/7
+		d.module.Probed(d.now, id, balance.OK, balance.Report{Load: load, CPU: load, Active: 20, Waiting: math.NaN(), Latency: math.NaN(), Rate: 1, Errors: math.NaN()})
+	}
+	if d.sent != 0 {
+		d.module.Started(d.now, d.sent)
+		d.stand = append(d.stand, d.sent)
+	}
+	if len(d.stand) > d.most {
+		id := d.stand[0]
+		d.stand = d.stand[1:]
+		d.module.Finished(d.now, id, 0, true, balance.OK, balance.Report{Load: -1, CPU: -1})
+	}
+}
+
+// Standing tells how many connections stand: a module that places none would be cheap.
+func (d *Decider) Standing() int { return len(d.stand) }
+
+// The rest is balance.Host.
+
+func (d *Decider) Send(id balance.RequestID, _ string, _ time.Duration) { d.sent = id }
+func (d *Decider) Refuse(balance.RequestID, time.Duration)              {}
+func (d *Decider) Fail(balance.RequestID)                               {}
+func (d *Decider) Cancel(balance.RequestID, int)                        {}
+func (d *Decider) Move(balance.RequestID)                               {}
+func (d *Decider) Probe(id string)                                      { d.probes = append(d.probes, id) }
+func (d *Decider) Watch()                                               {}
+func (d *Decider) After(time.Duration, uint64)                          {}
+
+// Decision is what a request costs with so many relays.
+type Decision struct {
+	Relays int
+	Cost   time.Duration
+}
+
+// Decisions measures the module's cost for a request at each number of relays, for about span each.
+func Decisions(sizes []int, span time.Duration) ([]Decision, error) {
+	var list []Decision
+	for _, n := range sizes {
+		d, err := NewDecider(n)
+		if err != nil {
+			return nil, err
+		}
+		done := 0
+		begin := time.Now()
+		for time.Since(begin) < span {
+			for range 64 {
+				d.Request()
+			}
+			done += 64
+		}
+		list = append(list, Decision{n, time.Since(begin) / time.Duration(done)})
+	}
+	return list, nil
+}
+
+// SaveDecisions writes decisions.md and decisions.svg into a folder.
+func SaveDecisions(dir string, list []Decision) error {
+	return saveAll(dir, map[string]func(w io.Writer) error{
+		"decisions.md":  func(w io.Writer) error { return DecisionTable(w, list) },
+		"decisions.svg": func(w io.Writer) error { return decisionChart(w, list) },
+	})
+}
+
+// DecisionTable writes the measurements as a table.
+func DecisionTable(w io.Writer, list []Decision) error {
+	var b strings.Builder
+	var rows [][]string
+	for _, d := range list {
+		rows = append(rows, []string{strconv.Itoa(d.Relays), strconv.FormatFloat(float64(d.Cost)/1e3, 'f', 2, 64)})
+	}
+	table(&b, []string{"relays", "µs a request"}, rows)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func decisionChart(w io.Writer, list []Decision) error {
+	p := newChart("the module's cost for a request", "relays", "µs")
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{}, plot.LogTicks{}
+	points := make(plotter.XYs, len(list))
+	for i, d := range list {
+		points[i] = plotter.XY{X: float64(d.Relays), Y: float64(d.Cost) / 1e3}
+	}
+	l, dots, err := plotter.NewLinePoints(points)
+	if err != nil {
+		return err
+	}
+	l.Color, l.Width, dots.Color, dots.Radius = palette[0], vg.Points(1.5), palette[0], vg.Points(3)
+	p.Add(l, dots)
+	return writeSVG(p, w, chartWide, chartHigh)
+}
