--- a/cmd/ospreylab/run.go
+++ b/cmd/ospreylab/run.go
@@ -33,6 +33,9 @@
 		set   []string
 		trace bool
 		prof  string
+
+		real    bool
+		program string
 	)
 	c := &cobra.Command{
 		Use:   "run SCENARIO",
@@ -62,7 +65,12 @@
 				defer pprof.StopCPUProfile()
 			}
 			begin := time.Now()
-			r, err := lab.Play(s, seed, o)
+			var r *lab.Result
+			if real {
+				r, err = a.playReal(s, seed, program, out, o)
+			} else {
+				r, err = lab.Play(s, seed, o)
+			}
 			took := time.Since(begin)
 			if r != nil {
 				a.speed(r, took)
@@ -88,9 +96,36 @@
 	c.Flags().StringArrayVar(&set, "set", nil, "section.key=value, in place of what the scenario says; may be given again")
 	c.Flags().BoolVar(&trace, "proxy-log", false, "show the proxies' own logs, with the virtual time")
 	c.Flags().StringVar(&prof, "cpu-profile", "", "write a profile of the processor's time to this file")
+	c.Flags().BoolVar(&real, "real", false, "play on real loopback sockets, in real time, against the program")
+	c.Flags().StringVar(&program, "program", "bin/ospreyspan", "the program, with --real")
 	return c
 }
 
+// mostReal bounds a day on real sockets.
+const mostReal = 10 * time.Minute
+
+// playReal plays on real sockets. The proxies' configurations and logs go into the folder for results, or a temporary one.
+func (a *app) playReal(s *lab.Scenario, seed uint64, program, out string, o lab.Options) (*lab.Result, error) {
+	if _, err := os.Stat(program); err != nil {
+		return nil, wrong{err}
+	}
+	dir := out
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "ospreylab"); err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+	} else if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	r, err := lab.PlayReal(s, seed, program, dir, mostReal, o)
+	if r == nil && err != nil {
+		return nil, wrong{err}
+	}
+	return r, err
+}
+
 // speed logs how fast the day went by, and what it took.
 func (a *app) speed(r *lab.Result, took time.Duration) {
 	var m runtime.MemStats
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"syscall"
 	"time"
 
 	"ospreyspan/internal/fleet"
@@ -35,7 +36,8 @@
 type stage struct {
 	*day
 	o         Options
-	world     *vnet.World
+	world     *vnet.World // nil: the day is played on real sockets
+	real      *real
 	ledger    *fleet.Ledger
 	judge     *judge
 	registry  *fleet.Registry
@@ -56,12 +58,17 @@
 
 // node is a loop with a box for what is to be done on it: the loop's own clock and timers are set right only in a turn.
 type node struct {
-	loop *poll.Loop
-	box  []func()
+	loop   *poll.Loop
+	box    []func()
+	direct bool // there is one loop, and what is posted runs on it already
 }
 
-func (n *node) on(k poll.Kernel) *poll.Loop {
+func (n *node) on(k poll.Kernel, s *stage) *poll.Loop {
 	n.box = nil
+	if s.real != nil { // all share one
+		n.loop, n.direct = s.real.loop, true
+		return n.loop
+	}
 	n.loop = poll.NewOn(k, func() {
 		for len(n.box) > 0 {
 			f := n.box[0]
@@ -74,6 +81,10 @@
 
 // post has f called in the node's next turn.
 func (n *node) post(f func()) {
+	if n.direct {
+		f()
+		return
+	}
 	n.box = append(n.box, f)
 	n.loop.Wake()
 }
@@ -81,10 +92,10 @@
 type proxyNode struct {
 	name  string
 	site  string
-	host  *vnet.Host
+	host  machine
 	loop  *poll.Loop
-	inst  *instance.Instance
-	rng   *rand.Rand // seeds of its lives
+	inst  *instance.Instance // nil: none runs, or it is a process of its own
+	rng   *rand.Rand         // seeds of its lives
 	audit time.Time
 	lives int
 }
@@ -94,23 +105,22 @@
 type relayNode struct {
 	node
 	plan  *relayPlan
-	host  *vnet.Host
+	host  machine
 	relay *fleet.Relay // nil: none runs
-	rng   *rand.Rand
 	lives int
 	gone  bool // it stays away
 }
 
 type discoveryNode struct {
 	node
-	host *vnet.Host
+	host machine
 	d    *fleet.Discovery
 }
 
 type crowdNode struct {
 	node
 	site  string
-	host  *vnet.Host
+	host  machine
 	front *fleet.Front
 	crowd *fleet.Crowd
 }
@@ -121,32 +131,38 @@
 	s.world = vnet.New(d.seed, s.link)
 	s.ledger = fleet.NewLedger(s.world.Now().Add(d.s.Run.WarmUp), d.s.Run.Length, d.classes)
 	s.judge = newJudge(s.world, s.ledger, &d.s.Rules)
+	return s, s.build()
+}
+
+// build sets up all that is there at the day's start.
+func (s *stage) build() error {
+	d := s.day
 	for i := range d.relays {
 		if err := s.addRelay(i); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	h := s.world.AddHost("discovery", netip.AddrFrom4([4]byte{10, 0, 0, 1}), vnet.Limits{})
-	s.judge.roles[h] = roleDiscovery
+	h := s.machine("discovery", netip.AddrFrom4([4]byte{10, 0, 0, 1}), vnet.Limits{})
+	s.is(h, roleDiscovery, "")
 	s.discovery = &discoveryNode{host: h}
 	if err := s.startDiscovery(); err != nil {
-		return nil, err
+		return err
 	}
 	for i := range d.s.Proxies.Count {
 		if err := s.addProxy(i); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	for i, site := range d.s.Sites {
 		if err := s.addCrowd(i, site); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	for i := range d.s.Troubles {
 		s.plot(&d.s.Troubles[i])
 	}
 	s.samples.init(s)
-	return s, nil
+	return nil
 }
 
 // siteOf is the site of a machine, by its address: the second byte counts the sites from 1, and 0 is none.
@@ -190,9 +206,9 @@
 
 func (s *stage) addRelay(i int) error {
 	p := &s.relays[i]
-	h := s.world.AddHost(p.id, at(siteIndex(s.s.Sites, p.site), atRelay, i), vnet.Limits{})
-	s.judge.roles[h], s.judge.relayID[h] = roleRelay, p.id
-	n := &relayNode{plan: p, host: h, rng: s.world.Rand("relay " + p.id)}
+	h := s.machine(p.id, at(siteIndex(s.s.Sites, p.site), atRelay, i), vnet.Limits{})
+	s.is(h, roleRelay, p.id)
+	n := &relayNode{plan: p, host: h}
 	s.nodes = append(s.nodes, n)
 	if p.late {
 		return nil
@@ -213,9 +229,9 @@
 
 func (s *stage) startRelay(n *relayNode, cold bool) error {
 	n.lives++
-	rng := s.world.Rand(fmt.Sprintf("relay %s %d", n.plan.id, n.lives))
+	rng := stream(s.seed, fmt.Sprintf("relay %s %d", n.plan.id, n.lives))
 	return n.host.Start(func(k poll.Kernel) (func() error, error) {
-		loop := n.on(k)
+		loop := n.on(k, s)
 		c := s.relay(n.plan, cold, rng)
 		c.SiteOf = s.siteOf
 		c.Costly = func(class string) (float64, float64) { return s.costly[class].part, s.costly[class].times }
@@ -225,6 +241,7 @@
 		}
 		n.relay = r
 		r.Fell = func() { n.host.Kill(); n.relay, n.gone = nil, true }
+		s.owns(n.host, r.Stop, r.Silence)
 		return func() error { return loop.Turn(true) }, nil
 	})
 }
@@ -235,17 +252,21 @@
 		return nil
 	}
 	return n.host.Start(func(k poll.Kernel) (func() error, error) {
-		loop := n.on(k)
+		loop := n.on(k, s)
 		c := fleet.DiscoveryConfig{Call: s.s.Discovery.Call, Line: s.s.Discovery.Line, Timeout: s.s.Discovery.Timeout}
 		d, err := fleet.NewDiscovery(loop, netip.AddrPortFrom(n.host.Addr(), discoveryPort), c, s.registry, s.ledger)
+		if err != nil {
+			return nil, err
+		}
 		n.d = d
-		return func() error { return loop.Turn(true) }, err
+		s.owns(n.host, d.Stop, nil)
+		return func() error { return loop.Turn(true) }, nil
 	})
 }
 
 // news changes discovery's list after a while.
 func (s *stage) news(after time.Duration, change func()) {
-	s.world.After(after+s.late, func() {
+	s.after(after+s.late, func() {
 		change()
 		if s.discovery.host.Up() {
 			s.discovery.post(s.discovery.d.News)
@@ -256,11 +277,11 @@
 func (s *stage) addProxy(i int) error {
 	site := i % len(s.s.Sites)
 	name := fmt.Sprintf("proxy-%03d", i)
-	h := s.world.AddHost(name, at(site, atProxy, i), vnet.Limits{
+	h := s.machine(name, at(site, atProxy, i), vnet.Limits{
 		Descriptors: s.s.Proxies.Sockets, EventCost: s.s.Proxies.EventCost,
 	})
-	s.judge.roles[h] = roleProxy
-	p := &proxyNode{name: name, site: s.s.Sites[site], host: h, rng: s.world.Rand("proxy " + name)}
+	s.is(h, roleProxy, "")
+	p := &proxyNode{name: name, site: s.s.Sites[site], host: h, rng: stream(s.seed, "proxy "+name)}
 	s.proxies = append(s.proxies, p)
 	return s.startProxy(p)
 }
@@ -271,6 +292,9 @@
 		return err
 	}
 	p.lives++
+	if s.real != nil {
+		return s.real.startProxy(s, p)
+	}
 	c := instance.Config{
 		Name: p.name, Listen: p.addr(), Discovery: netip.AddrPortFrom(s.discovery.host.Addr(), discoveryPort),
 		Seed: p.rng.Uint64(), Sockets: s.s.Proxies.Sockets, Known: s.known(), Settings: set, Tuning: s.s.Tuning(),
@@ -294,7 +318,7 @@
 		return err
 	}
 	if inst.Done() {
-		if err := s.judge.exits(p.host); err != nil {
+		if err := s.judge.exits(p.host.(*vnet.Host)); err != nil {
 			s.judge.audit(p.name, err)
 		}
 		s.ended.Add(&inst.Count)
@@ -324,13 +348,13 @@
 }
 
 func (s *stage) addCrowd(i int, site string) error {
-	h := s.world.AddHost("clients-"+site, at(i, atClients, i), vnet.Limits{})
-	s.judge.roles[h] = roleClient
+	h := s.machine("clients-"+site, at(i, atClients, i), vnet.Limits{})
+	s.is(h, roleClient, "")
 	n := &crowdNode{site: site, host: h}
 	s.crowds = append(s.crowds, n)
 	return h.Start(func(k poll.Kernel) (func() error, error) {
-		loop := n.on(k)
-		n.front = fleet.NewFront(loop, fleet.FrontConfig{Every: s.s.Front.Every, Notice: s.s.Front.Notice}, s.world.Rand("front "+site))
+		loop := n.on(k, s)
+		n.front = fleet.NewFront(loop, fleet.FrontConfig{Every: s.s.Front.Every, Notice: s.s.Front.Notice}, stream(s.seed, "front "+site))
 		for _, p := range s.proxies {
 			n.front.Add(p.addr(), p.site == site)
 		}
@@ -338,11 +362,102 @@
 		n.crowd = fleet.NewCrowd(loop, fleet.CrowdConfig{
 			Site: site, Traffic: s.traffic, Classes: s.classes, Groups: s.groups, Seed: s.seed,
 			Rate: func(now time.Time) float64 { return s.rate(site, now.Sub(start)) },
-		}, n.front, s.world.Rand("arrivals "+site), s.ledger)
+		}, n.front, stream(s.seed, "arrivals "+site), s.ledger)
+		s.owns(h, n.crowd.Stop, nil)
 		return func() error { return loop.Turn(true) }, nil
 	})
 }
 
+// machine is where a process of the day runs: a vnet.Host, or a part of this process on an address of its own.
+type machine interface {
+	Name() string
+	Addr() netip.Addr
+	Start(begin func(k poll.Kernel) (step func() error, err error)) error
+	Kill()
+	Vanish()
+	Return()
+	Isolate()
+	Rejoin()
+	Running() bool
+	Up() bool
+}
+
+// machine adds one.
+func (s *stage) machine(name string, addr netip.Addr, l vnet.Limits) machine {
+	if s.real != nil {
+		return s.real.machine(name, addr)
+	}
+	return s.world.AddHost(name, addr, l)
+}
+
+// is tells the judge what a machine is for.
+func (s *stage) is(m machine, r role, relay string) {
+	if s.judge == nil {
+		return
+	}
+	h := m.(*vnet.Host)
+	if s.judge.roles[h] = r; relay != "" {
+		s.judge.relayID[h] = relay
+	}
+}
+
+// owns tells a machine that is no host of its own how its process is ended, and how it is silenced.
+func (s *stage) owns(m machine, stop func(), silence func(on bool)) {
+	if r, ok := m.(*realMachine); ok {
+		r.stop, r.silence = stop, silence
+	}
+}
+
+func (s *stage) now() time.Time {
+	if s.real != nil {
+		return s.real.loop.Now()
+	}
+	return s.world.Now()
+}
+
+func (s *stage) after(d time.Duration, f func()) {
+	if s.real != nil {
+		s.real.loop.After(&poll.Timer{Fire: f}, d)
+		return
+	}
+	s.world.After(d, f)
+}
+
+// excuse lets a proxy's answers be late for a while.
+func (s *stage) excuse(p *proxyNode, d time.Duration) {
+	if s.judge != nil {
+		s.judge.excuse(p.host.(*vnet.Host), s.now().Add(d))
+	}
+}
+
+// virtual is the proxy's machine where it is one of the virtual network.
+func (p *proxyNode) virtual() *vnet.Host { return p.host.(*vnet.Host) }
+
+func (p *proxyNode) running() bool {
+	if r, ok := p.host.(*realMachine); ok {
+		return r.Running()
+	}
+	return p.inst != nil
+}
+
+// term is SIGTERM.
+func (p *proxyNode) term() {
+	if r, ok := p.host.(*realMachine); ok {
+		r.signal(syscall.SIGTERM)
+		return
+	}
+	p.loop.Wake()
+}
+
+func (p *proxyNode) stall(s *stage, d time.Duration) {
+	if r, ok := p.host.(*realMachine); ok {
+		r.signal(syscall.SIGSTOP)
+		s.after(d, func() { r.signal(syscall.SIGCONT) })
+		return
+	}
+	p.virtual().Stall(d)
+}
+
 // play runs the day to its end and checks that everything was given back.
 func (s *stage) play() error {
 	step := time.Second
--- /dev/null
+++ b/internal/lab/real.go
@@ -0,0 +1,227 @@
+package lab
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"ospreyspan/internal/fleet"
+	"ospreyspan/internal/poll"
+)
+
+// real is what a day needs that is played on real loopback sockets: one loop for the fleet's parts, and a process for
+// each proxy.
+type real struct {
+	loop    *poll.Loop
+	program string
+	dir     string // for configurations and logs
+	all     []*realMachine
+}
+
+// notReal are the troubles that can't be made on real sockets without privileges.
+var notReal = map[string]string{
+	"partition": "loopback can't be cut", "isolate": "loopback can't be cut", "late-clock": "the clock is everybody's",
+	"descriptors": "the limit is the process's own", "ports": "the ports are everybody's",
+}
+
+// PlayReal plays a day on real loopback sockets against the program, in real time: the same fleet, the same draws, but no
+// delay of a network, and no judge on the wire. It takes as long as the day and a few seconds; until bounds it.
+func PlayReal(sc *Scenario, seed uint64, program, dir string, until time.Duration, o Options) (*Result, error) {
+	for _, t := range sc.Troubles {
+		if why := notReal[t.Kind]; why != "" {
+			return nil, fmt.Errorf("trouble %s: %s can't be played on real sockets: %s", t.Name, t.Kind, why)
+		}
+	}
+	if sc.Proxies.Count > 16 || len(sc.Sites) > 100 {
+		return nil, errors.New("more than 16 proxies or 100 sites are too many for one machine's real sockets")
+	}
+	d, err := newDay(sc, seed)
+	if err != nil {
+		return nil, err
+	}
+	if d.total+sc.Run.CoolDown > until {
+		return nil, fmt.Errorf("the day takes %v, more than the %v that are given", d.total, until)
+	}
+	loop, err := poll.New(func() {})
+	if err != nil {
+		return nil, err
+	}
+	defer loop.Close()
+	s := &stage{day: d, o: o, costly: make(map[string]costly), registry: fleet.NewRegistry()}
+	s.real = &real{loop: loop, program: program, dir: dir}
+	defer s.real.end()
+	s.ledger = fleet.NewLedger(loop.Now().Add(sc.Run.WarmUp), sc.Run.Length, d.classes)
+	var broken error
+	s.ledger.Broken = func(rule, detail string) {
+		if broken == nil {
+			broken = &Violation{rule, detail}
+		}
+	}
+	if err := s.build(); err != nil {
+		return nil, err
+	}
+	finished := false
+	var second poll.Timer
+	taken := time.Duration(0)
+	second.Fire = func() {
+		taken += time.Second
+		s.samples.take(s)
+		if o.Progress != nil {
+			o.Progress(taken, d.total)
+		}
+		if taken < d.total {
+			loop.After(&second, time.Second)
+			return
+		}
+		for _, c := range s.crowds {
+			c.crowd.Finish()
+			c.front.Stop()
+		}
+		finished = true
+	}
+	loop.After(&second, time.Second)
+	for !finished && s.err == nil {
+		if err := loop.Turn(true); err != nil {
+			return nil, err
+		}
+	}
+	return s.result(), errors.Join(s.err, broken)
+}
+
+// machine adds a part of this process at an address of its own on loopback: 127 in place of 10.
+func (r *real) machine(name string, addr netip.Addr) machine {
+	a := addr.As4()
+	a[0] = 127
+	a[2] |= 64 // apart from what other programs use
+	if a[3] == 0 {
+		a[3] = 200
+	}
+	m := &realMachine{real: r, name: name, addr: netip.AddrFrom4(a)}
+	r.all = append(r.all, m)
+	return m
+}
+
+// end ends all processes that were started, by their ids, and waits for them.
+func (r *real) end() {
+	for _, m := range r.all {
+		m.Kill()
+	}
+}
+
+// realMachine plays a machine on real sockets.
+type realMachine struct {
+	real    *real
+	name    string
+	addr    netip.Addr
+	running bool
+	stop    func()
+	silence func(on bool)
+	cmd     *exec.Cmd
+}
+
+func (m *realMachine) Name() string     { return m.name }
+func (m *realMachine) Addr() netip.Addr { return m.addr }
+func (m *realMachine) Up() bool         { return m.Running() }
+func (m *realMachine) Isolate()         {}
+func (m *realMachine) Rejoin()          {}
+
+// Running tells whether its process is there; a proxy that has ended by itself is noticed here.
+func (m *realMachine) Running() bool {
+	if m.cmd != nil {
+		var status syscall.WaitStatus
+		if pid, err := syscall.Wait4(m.cmd.Process.Pid, &status, syscall.WNOHANG, nil); pid != 0 || err != nil {
+			m.cmd = nil
+		}
+		return m.cmd != nil
+	}
+	return m.running
+}
+
+func (m *realMachine) Start(begin func(k poll.Kernel) (step func() error, err error)) error {
+	if m.running {
+		return fmt.Errorf("%s runs already", m.name)
+	}
+	if _, err := begin(nil); err != nil {
+		return fmt.Errorf("%s: %w", m.name, err)
+	}
+	m.running = true
+	return nil
+}
+
+// Kill ends its process: of a proxy with SIGKILL, by its id.
+func (m *realMachine) Kill() {
+	if m.cmd != nil {
+		if m.Running() {
+			_ = m.cmd.Process.Kill() // it may have ended just now
+			_, _ = syscall.Wait4(m.cmd.Process.Pid, nil, 0, nil)
+		}
+		m.cmd = nil
+		return
+	}
+	if m.running && m.stop != nil {
+		m.stop()
+	}
+	m.running = false
+}
+
+// Vanish has it say nothing any more. New connections come up all the same, which they would not if the machine were gone.
+func (m *realMachine) Vanish() {
+	if m.running && m.silence != nil {
+		m.silence(true)
+	}
+}
+
+// Return ends the process that was silent.
+func (m *realMachine) Return() { m.Kill() }
+
+func (m *realMachine) signal(sig syscall.Signal) {
+	if m.Running() && m.cmd != nil {
+		_ = m.cmd.Process.Signal(sig) // it may have ended just now
+	}
+}
+
+// startProxy starts the program with a configuration of the platform's form.
+func (r *real) startProxy(s *stage, p *proxyNode) error {
+	m := p.host.(*realMachine)
+	settings, err := s.settingsText(p.site)
+	if err != nil {
+		return err
+	}
+	var hosts []fleet.Entry
+	for i := range s.relays {
+		if !s.relays[i].late {
+			hosts = append(hosts, s.entry(s.nodes[i], 0))
+		}
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": p.name, "listen": p.addr().String(), "discovery": netip.AddrPortFrom(s.discovery.host.Addr(), discoveryPort).String(),
+		"seed": fmt.Sprintf("%x", p.rng.Uint64()), "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": s.s.Proxies.Sockets},
+		"known": map[string]any{"seq": 0, "whole": true, "hosts": hosts}, "settings": json.RawMessage(settings),
+	})
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(r.dir, p.name+".json")
+	if err := os.WriteFile(path, text, 0o644); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(filepath.Join(r.dir, p.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return err
+	}
+	defer out.Close() // the process has its own copy
+	m.cmd = exec.Command(r.program)
+	m.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path)
+	m.cmd.Stdout, m.cmd.Stderr = out, out
+	if err := m.cmd.Start(); err != nil {
+		m.cmd = nil
+		return fmt.Errorf("%s: %w", p.name, err)
+	}
+	return nil
+}
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -21,7 +21,7 @@
 }
 
 func (m *samples) take(s *stage) {
-	now := s.world.Now()
+	now := s.now()
 	for i, n := range s.nodes {
 		load, stand := math.NaN(), math.NaN()
 		if r := n.relay; r != nil {
@@ -103,8 +103,11 @@
 	r := &Result{
 		Scenario: s.s.Name, About: s.s.Run.Text, Seed: s.seed, Length: s.s.Run.Length.Seconds(), WarmUp: s.s.Run.WarmUp.Seconds(),
 		Proxies: len(s.proxies), Relays: len(s.nodes), Goal: round(l.Goal()), Service: round(l.Service(-1, 0, l.Seconds())),
-		Clients: l.Count, Counters: s.ended, Requests: s.judge.Requests, Hops: s.judge.Hops,
-		Events: s.world.Events(), Trace: fmt.Sprintf("%016x", s.world.TraceSum()),
+		Clients: l.Count, Counters: s.ended,
+	}
+	if s.world != nil {
+		r.Requests, r.Hops = s.judge.Requests, s.judge.Hops
+		r.Events, r.Trace = s.world.Events(), fmt.Sprintf("%016x", s.world.TraceSum())
 	}
 	for _, p := range s.proxies {
 		if p.inst != nil {
--- a/internal/lab/troubles.go
+++ b/internal/lab/troubles.go
@@ -15,7 +15,7 @@
 
 // plot puts a trouble's events in the day's queue. All its draws come now, from a stream of its own.
 func (s *stage) plot(t *Trouble) {
-	r := s.world.Rand("trouble " + t.Name)
+	r := stream(s.seed, "trouble "+t.Name)
 	at := s.s.Run.WarmUp + t.At.Draw(r)
 	for range t.Again + 1 {
 		s.once(t, at, r)
@@ -91,27 +91,28 @@
 		}
 	case "stall":
 		for _, p := range s.someProxies(t, r) {
-			s.world.After(at, func() {
-				p.host.Stall(span)
-				s.judge.excuse(p.host, s.world.Now().Add(span+s.s.Rules.AnswerSlack))
+			s.after(at, func() {
+				p.stall(s, span)
+				s.excuse(p, span+s.s.Rules.AnswerSlack)
 			})
 		}
 	case "late-clock":
 		for _, p := range s.someProxies(t, r) {
 			s.during(at, span, func() {
-				p.host.ClockLag(away)
+				p.virtual().ClockLag(away)
 				if away > s.s.Proxies.AnswerMargin/2 {
-					s.judge.excuse(p.host, s.world.Now().Add(span+away))
+					s.excuse(p, span+away)
 				}
-			}, func() { p.host.ClockLag(0) })
+			}, func() { p.virtual().ClockLag(0) })
 		}
 	case "descriptors":
 		for _, p := range s.someProxies(t, r) {
-			s.during(at, span, func() { p.host.SetDescriptors(p.host.Open() + int(size)) }, func() { p.host.SetDescriptors(s.s.Proxies.Sockets) })
+			s.during(at, span, func() { p.virtual().SetDescriptors(p.virtual().Open() + int(size)) },
+				func() { p.virtual().SetDescriptors(s.s.Proxies.Sockets) })
 		}
 	case "ports":
 		for _, p := range s.someProxies(t, r) {
-			s.during(at, span, func() { p.host.ExhaustPorts(true) }, func() { p.host.ExhaustPorts(false) })
+			s.during(at, span, func() { p.virtual().ExhaustPorts(true) }, func() { p.virtual().ExhaustPorts(false) })
 		}
 	case "rude":
 		s.badClients(t, at, span, size)
@@ -137,20 +138,21 @@
 // during has something happen and end after a while.
 func (s *stage) during(at, span time.Duration, begin, end func()) {
 	s.lasts(at + span)
-	s.world.After(at, begin)
-	s.world.After(at+span, end)
+	s.after(at, begin)
+	s.after(at+span, end)
 }
 
+// hosts are all machines of a virtual stage.
 func (s *stage) hosts() []*vnet.Host {
-	list := []*vnet.Host{s.discovery.host}
+	list := []*vnet.Host{s.discovery.host.(*vnet.Host)}
 	for _, p := range s.proxies {
-		list = append(list, p.host)
+		list = append(list, p.host.(*vnet.Host))
 	}
 	for _, n := range s.nodes {
-		list = append(list, n.host)
+		list = append(list, n.host.(*vnet.Host))
 	}
 	for _, c := range s.crowds {
-		list = append(list, c.host)
+		list = append(list, c.host.(*vnet.Host))
 	}
 	return list
 }
@@ -204,7 +206,7 @@
 // silence has a relay's machine vanish and come back cold, with a new process under its id.
 func (s *stage) silence(n *relayNode, at, span time.Duration, r *rand.Rand) {
 	notice, back := s.s.Relays.Silent.Draw(r), s.s.Relays.Return.Draw(r)
-	s.world.After(at, func() {
+	s.after(at, func() {
 		if n.relay == nil {
 			return
 		}
@@ -216,7 +218,7 @@
 				s.registry.Health(n.plan.id, fleet.Deleted)
 			}
 		})
-		s.world.After(span, func() {
+		s.after(span, func() {
 			n.host.Return()
 			s.comeBack(n, back)
 		})
@@ -232,7 +234,7 @@
 		s.failed(err)
 		return
 	}
-	born, life := s.world.Now(), n.lives
+	born, life := s.now(), n.lives
 	s.news(notice, func() {
 		if n.lives == life && n.host.Up() {
 			s.registry.Set(s.entry(n, born.UnixMilli()))
@@ -243,7 +245,7 @@
 // drain has a relay take nothing new, stop and come back cold under its id.
 func (s *stage) drain(n *relayNode, at, span, away time.Duration, r *rand.Rand) {
 	told, gone, back := s.s.Relays.Notice.Draw(r), s.s.Relays.Notice.Draw(r), s.s.Relays.Return.Draw(r)
-	s.world.After(at, func() {
+	s.after(at, func() {
 		if n.relay == nil {
 			return
 		}
@@ -257,11 +259,11 @@
 		}
 		n.relay.Drain()
 		s.news(told, same(func() { s.registry.Health(n.plan.id, fleet.Draining) }))
-		s.world.After(span, same(func() {
+		s.after(span, same(func() {
 			n.host.Kill()
 			n.relay = nil
 			s.news(gone, same(func() { s.registry.Health(n.plan.id, fleet.Deleted) }))
-			s.world.After(away, func() { s.comeBack(n, back) })
+			s.after(away, func() { s.comeBack(n, back) })
 		}))
 	})
 }
@@ -269,7 +271,7 @@
 // lose has a relay's machine die for good.
 func (s *stage) lose(n *relayNode, at time.Duration, r *rand.Rand) {
 	notice := s.s.Relays.Notice.Draw(r)
-	s.world.After(at, func() {
+	s.after(at, func() {
 		n.host.Kill()
 		n.relay, n.gone = nil, true
 		s.news(notice, func() { s.registry.Health(n.plan.id, fleet.Deleted) })
@@ -282,7 +284,7 @@
 	for i := range back {
 		back[i] = s.s.Relays.Return.Draw(r)
 	}
-	s.world.After(at, func() {
+	s.after(at, func() {
 		for _, n := range s.nodes {
 			if len(back) > 0 && n.plan.late && n.lives == 0 {
 				s.comeBack(n, back[0])
@@ -294,52 +296,56 @@
 
 // restart is a planned restart of a proxy: SIGTERM, SIGKILL if it is still there when its time is up, and a new start.
 func (s *stage) restart(p *proxyNode, at, away, late time.Duration) {
-	s.world.After(at, func() {
-		if p.inst == nil {
+	s.after(at, func() {
+		if !p.running() {
 			return
 		}
 		life := p.lives
-		p.loop.Wake()
+		p.term()
 		set, err := s.settingsAt(p.site)
 		if err != nil {
 			s.failed(err)
 			return
 		}
 		limit := instance.Longest(set)
-		s.world.After(late, func() {
+		s.after(late, func() {
 			for _, c := range s.crowds {
 				c.front.Withdraw(p.addr())
 			}
 		})
-		s.world.After(limit, func() {
-			if p.lives == life && p.inst != nil {
-				s.judge.audit(p.name, s.judge.exits(p.host))
-				s.end1(p)
+		s.after(limit, func() {
+			if p.lives == life && p.running() {
+				if s.judge != nil {
+					s.judge.audit(p.name, s.judge.exits(p.host.(*vnet.Host)))
+				}
+				s.kill9(p)
 			}
 		})
-		s.world.After(limit+away, func() { s.backAgain(p) })
+		s.after(limit+away, func() { s.backAgain(p) })
 	})
 }
 
-// end1 ends a proxy's process outright.
-func (s *stage) end1(p *proxyNode) {
-	s.ended.Add(&p.inst.Count)
-	p.inst = nil
+// kill9 ends a proxy's process outright.
+func (s *stage) kill9(p *proxyNode) {
+	if p.inst != nil {
+		s.ended.Add(&p.inst.Count)
+		p.inst = nil
+	}
 	p.host.Kill()
 }
 
 func (s *stage) kill(p *proxyNode, at, away time.Duration) {
-	s.world.After(at, func() {
-		if p.inst == nil {
+	s.after(at, func() {
+		if !p.running() {
 			return
 		}
-		s.end1(p)
-		s.world.After(away, func() { s.backAgain(p) })
+		s.kill9(p)
+		s.after(away, func() { s.backAgain(p) })
 	})
 }
 
 func (s *stage) backAgain(p *proxyNode) {
-	if p.inst != nil {
+	if p.running() {
 		return
 	}
 	s.ledger.ForgetProxy(p.host.Addr())
@@ -355,21 +361,27 @@
 func (s *stage) badClients(t *Trouble, at, span time.Duration, rate float64) {
 	s.rude++
 	name := fmt.Sprintf("rude-%d", s.rude)
-	h := s.world.AddHost(name, at2(s.rude), vnet.Limits{})
+	n := &rudeNode{host: s.machine(name, at2(s.rude), vnet.Limits{})}
 	var to []netip.AddrPort
 	for _, p := range s.proxies {
 		if listed(t.Sites, p.site) {
 			to = append(to, p.addr())
 		}
 	}
-	rng := s.world.Rand(name)
+	rng := stream(s.seed, name)
 	s.during(at, span, func() {
-		s.failed(h.Start(func(k poll.Kernel) (func() error, error) {
-			loop := poll.NewOn(k, func() {})
-			fleet.NewRude(loop, to, max(rate, 0.1), rng)
+		s.failed(n.host.Start(func(k poll.Kernel) (func() error, error) {
+			loop := n.on(k, s)
+			r := fleet.NewRude(loop, to, max(rate, 0.1), rng)
+			s.owns(n.host, r.Stop, nil)
 			return func() error { return loop.Turn(true) }, nil
 		}))
-	}, h.Kill)
+	}, n.host.Kill)
+}
+
+type rudeNode struct {
+	node
+	host machine
 }
 
 // at2 is the address of a source of bad clients.
