--- /dev/null
+++ b/internal/fleet/machine_test.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func near(a, b float64) bool { return math.Abs(a-b) < 1e-6*math.Max(1, math.Abs(b)) }
+
+// Work piles up while more is asked for than can be done, and is done afterwards at the rate that is left.
+func TestBacklog(t *testing.T) {
+	m := NewMachine(start, MachineConfig{Cores: 2, Speed: 1.5, Service: 0.004})
+	m.AddLoad(start, 4) // of 3
+	if !near(m.Load(start), 4.0/3) {
+		t.Errorf("load %v", m.Load(start))
+	}
+	if got := m.Behind(at(3 * time.Second)); got != time.Second { // 1 too much for 3 s is a second of 3
+		t.Errorf("after 3 s it is behind by %v", got)
+	}
+	m.AddLoad(at(3*time.Second), -2)
+	if got := m.Behind(at(5 * time.Second)); got.Round(time.Millisecond) != 333*time.Millisecond {
+		t.Errorf("2 s later it is behind by %v", got)
+	}
+	if got := m.Behind(at(time.Minute)); got != 0 {
+		t.Errorf("a minute later it is behind by %v", got)
+	}
+	m.Slow(at(time.Minute), 3)
+	m.Neighbour(at(time.Minute), 0.5)
+	if c := m.Capacity(at(time.Minute)); !near(c, 0.5) {
+		t.Errorf("three times slower with half of it taken: %v", c)
+	}
+	m.AddLoad(at(time.Minute), -5)
+	if m.Asked() != 0 {
+		t.Errorf("asked for %v after all is over", m.Asked())
+	}
+}
+
+// A machine that has started has a part of its capacity, which grows evenly.
+func TestWarmUp(t *testing.T) {
+	m := NewMachine(start, MachineConfig{Cores: 1, Speed: 1, ColdFrom: 0.2, WarmIn: 20 * time.Second, FallMultiple: 3, FallWithin: 1500 * time.Millisecond})
+	for d, want := range map[time.Duration]float64{0: 0.2, 10 * time.Second: 0.6, 20 * time.Second: 1, time.Hour: 1} {
+		if got := m.Capacity(at(d)); !near(got, want) {
+			t.Errorf("after %v: %v, want %v", d, got, want)
+		}
+	}
+}
+
+// A cold machine falls over when it is asked for more than the multiple for as long as that, and not for a moment or when
+// it is warm.
+func TestFallsWhenPushedCold(t *testing.T) {
+	c := MachineConfig{Cores: 1, Speed: 1, ColdFrom: 0.2, WarmIn: 20 * time.Second, FallMultiple: 3, FallWithin: 1500 * time.Millisecond}
+	m := NewMachine(start, c)
+	m.AddLoad(start, 1)
+	for d := time.Duration(0); d <= 1400*time.Millisecond; d += 100 * time.Millisecond {
+		if m.Fallen(at(d)) {
+			t.Fatalf("it fell after %v", d)
+		}
+	}
+	if !m.Fallen(at(1500 * time.Millisecond)) {
+		t.Error("it stands after 1.5 s of five times its capacity")
+	}
+	m = NewMachine(start, c)
+	m.AddLoad(start, 1)
+	m.Fallen(start)
+	m.AddLoad(at(time.Second), -1)
+	m.Fallen(at(time.Second))
+	m.AddLoad(at(1100*time.Millisecond), 1)
+	if m.Fallen(at(1600 * time.Millisecond)) {
+		t.Error("two moments counted as one")
+	}
+	c.WarmIn = 0
+	m = NewMachine(start, c)
+	m.AddLoad(start, 100)
+	if m.Fallen(start); m.Fallen(at(time.Minute)) {
+		t.Error("a warm machine fell")
+	}
+}
+
+// Messages take longer the busier the machine is, and much longer once it is behind.
+func TestDelayGrowsWithLoad(t *testing.T) {
+	mean := func(load float64) time.Duration {
+		rng := rand.New(rand.NewPCG(1, 2))
+		m := NewMachine(start, MachineConfig{Cores: 3, Speed: 1, Service: 0.005})
+		m.AddLoad(start, 3*load)
+		sum := time.Duration(0)
+		for range 2000 {
+			sum += m.Delay(start, rng)
+		}
+		return sum / 2000
+	}
+	idle, half, busy, full := mean(0), mean(0.5), mean(0.9), mean(0.99)
+	if idle < 4500*time.Microsecond || idle > 5500*time.Microsecond || half <= idle || busy < half+2*time.Millisecond || full < 60*time.Millisecond {
+		t.Errorf("idle %v, half %v, busy %v, full %v", idle, half, busy, full)
+	}
+}
+
+// Seconds that were wanted and well served fall into the right windows, and the worst of them is found.
+func TestLedger(t *testing.T) {
+	l := NewLedger(start, 30*time.Second, []Class{{Name: "a", Worth: 3}, {Name: "b", Worth: 1}})
+	l.want(0, at(-5*time.Second), at(30*time.Second))
+	l.serve(0, at(-5*time.Second), at(12500*time.Millisecond))
+	l.serve(0, at(20*time.Second), at(40*time.Second))
+	l.want(1, at(0), at(30*time.Second))
+	l.serve(1, at(0), at(30*time.Second))
+	if got := l.Service(0, 0, 30); !near(got, 22.5/30) {
+		t.Errorf("service %v", got)
+	}
+	if got := l.Service(-1, 0, 30); !near(got, (3*22.5+30)/(4*30)) {
+		t.Errorf("service of all %v", got)
+	}
+	if got, from := l.Worst(); !near(got, (3*2.5+10)/40) || from < 10 || from > 12 {
+		t.Errorf("worst %v from %d", got, from)
+	}
+	if got := l.Service(0, 12, 13); !near(got, 0.5) {
+		t.Errorf("the thirteenth second: %v", got)
+	}
+}
