--- a/cmd/ospreylab/compare.go
+++ b/cmd/ospreylab/compare.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -17,6 +18,7 @@
 		set   []string
 		both  []string
 		out   string
+		other string
 	)
 	c := &cobra.Command{
 		Use:   "compare SCENARIO [SCENARIO]",
@@ -26,8 +28,13 @@
 		Example: "  ospreylab compare lab/silent-relays.ini --set proxies.silent_after=400ms --seeds 20",
 		Args:    files(1, 2),
 		RunE: func(_ *cobra.Command, args []string) error {
-			if len(args) == 1 && len(set) == 0 {
-				return wrong{errors.New("compare: two scenarios, or one and --set")}
+			if len(args) == 1 && len(set) == 0 && other == "" {
+				return wrong{errors.New("compare: two scenarios, or one and --set, or one and --build")}
+			}
+			if other != "" {
+				if _, err := os.Stat(other); err != nil {
+					return wrong{err}
+				}
 			}
 			if seeds < 2 || seeds > 10000 {
 				return wrong{fmt.Errorf("--seeds: %d is not from 2 to 10000", seeds)}
@@ -44,13 +51,16 @@
 			if len(set) > 0 {
 				second += " with " + strings.Join(set, ", ")
 			}
+			if other != "" {
+				second += " by " + other
+			}
 			list := make([]uint64, seeds)
 			for i := range list {
 				list[i] = first + uint64(i)
 			}
 			n := 0
 			show := terminal(a.errs)
-			res, err := lab.RunPairs(lab.Side{Name: x.Name, Scenario: x}, lab.Side{Name: second, Scenario: y}, list, func() {
+			res, err := lab.RunPairs(lab.Side{Name: x.Name, Scenario: x}, lab.Side{Name: second, Scenario: y, Program: other}, list, func() {
 				if n++; show {
 					fmt.Fprintf(a.errs, "\r%d of %d days ", n, 2*seeds)
 				}
@@ -74,6 +84,7 @@
 	c.Flags().Uint64Var(&first, "first", 1, "the first seed")
 	c.Flags().StringArrayVar(&set, "set", nil, "section.key=value for the second; may be given again")
 	c.Flags().StringArrayVar(&both, "set-both", nil, "section.key=value for both; may be given again")
+	c.Flags().StringVar(&other, "build", "", "another build of ospreylab, which plays the second side: two versions are compared")
 	c.Flags().StringVar(&out, "out", "", "folder for results, tables and the plot")
 	return c
 }
--- a/cmd/ospreylab/main_test.go
+++ b/cmd/ospreylab/main_test.go
@@ -62,7 +62,7 @@
 		{[]string{"run", filepath.Join(none, "x.ini")}, "no such file"},
 		{[]string{"run"}, "takes 1 to 1 files, got 0"},
 		{[]string{"run", good, "--sede", "1"}, "unknown flag: --sede"},
-		{[]string{"compare", good}, "two scenarios, or one and --set"},
+		{[]string{"compare", good}, "two scenarios, or one and --set, or one and --build"},
 		{[]string{"compare", good, good, "--seeds", "1"}, "not from 2 to 10000"},
 		{[]string{"check", good, bad}, "bad.ini:2:"},
 		{[]string{"fuzz", "--seeds", "0"}, "not above 0"},
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -7,6 +7,9 @@
 	"image/color"
 	"io"
 	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"runtime"
 	"strconv"
 	"strings"
@@ -23,6 +26,36 @@
 type Side struct {
 	Name     string
 	Scenario *Scenario
+	Program  string // another build of ospreylab, which plays this side; empty: this one does
+}
+
+// play plays a day of the side.
+func (s *Side) play(seed uint64) (*Result, error) {
+	if s.Program == "" {
+		return Play(s.Scenario, seed, Options{})
+	}
+	dir, err := os.MkdirTemp("", "ospreylab")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, s.Scenario.Name+".ini")
+	if err := os.WriteFile(path, []byte(s.Scenario.Text()), 0o644); err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(s.Program, "run", path, "--seed", strconv.FormatUint(seed, 10), "--out", dir)
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return nil, fmt.Errorf("%s, seed %d: %w\n%s", s.Program, seed, err, out)
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "results.json"))
+	if err != nil {
+		return nil, err
+	}
+	var r Result
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, fmt.Errorf("%s, seed %d: results.json: %w", s.Program, seed, err)
+	}
+	return &r, nil
 }
 
 // Comparison is two sides, played for the same seeds.
@@ -80,7 +113,7 @@
 		go func() {
 			defer wait.Done()
 			for j := range jobs {
-				r, err := Play(sides[j[1]].Scenario, seeds[j[0]], Options{})
+				r, err := sides[j[1]].play(seeds[j[0]])
 				all[j[0]][j[1]] = outcome{r, err}
 				if done != nil {
 					one.Lock()
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -151,7 +151,7 @@
 func TestCompare(t *testing.T) {
 	calm := must(t, "[run]\nlength = 12s\nwarm_up = 8s\n")
 	slow := must(t, "[run]\nlength = 12s\nwarm_up = 8s\n[trouble s]\nkind = slow\nat = 0s\nfor = 12s\npart = 80%\nsize = 9\n")
-	c, err := RunPairs(Side{"calm", calm}, Side{"slow", slow}, []uint64{1, 2, 3, 4, 5, 6}, nil)
+	c, err := RunPairs(Side{Name: "calm", Scenario: calm}, Side{Name: "slow", Scenario: slow}, []uint64{1, 2, 3, 4, 5, 6}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -174,7 +174,7 @@
 	if err := c.forest(&b); err != nil {
 		t.Error(err)
 	}
-	same, err := RunPairs(Side{"calm", calm}, Side{"calm", calm}, []uint64{1, 2}, nil)
+	same, err := RunPairs(Side{Name: "calm", Scenario: calm}, Side{Name: "calm", Scenario: calm}, []uint64{1, 2}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
