Tests of the urgent socket and of a listener that has no descriptor left

Change: an urgent socket must be told first, gathered or not; a listener without descriptors must rest.

--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -291,3 +291,112 @@
 		t.Errorf("%d sockets are open", l.Open())
 	}
 }
+
+// An urgent socket is told before all others, also in a turn that has more events than fit and did not gather its own.
+func TestUrgentComesFirst(t *testing.T) {
+	l := newLoop(t)
+	var order []int
+	var socks []*Socket
+	var fars []int
+	pair := func(i int) *Socket {
+		fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := l.add(fds[0], handler(func(Ready) { order = append(order, i) }), WantRead)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := unix.Write(fds[1], []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		socks, fars = append(socks, s), append(fars, fds[1])
+		return s
+	}
+	for i := range 10 {
+		pair(i)
+	}
+	last := pair(10)
+	last.Urgent()
+	last.Urgent()
+	if err := l.Turn(false); err != nil {
+		t.Fatal(err)
+	}
+	if len(order) != 11 || order[0] != 10 {
+		t.Errorf("told in the order %v", order)
+	}
+	for i := 11; i < batch+60; i++ {
+		pair(i)
+	}
+	for range 3 { // whichever events are gathered
+		order = nil
+		if err := l.Turn(false); err != nil {
+			t.Fatal(err)
+		}
+		if len(order) < batch || order[0] != 10 {
+			t.Errorf("%d told, the first one %d", len(order), order[0])
+		}
+	}
+	for i, s := range socks {
+		s.Close()
+		unix.Close(fars[i])
+	}
+	if l.Open() != 0 || len(l.urgent) != 0 {
+		t.Errorf("%d open, %d urgent", l.Open(), len(l.urgent))
+	}
+}
+
+// A listener whose process has no descriptor left, the reserve included, rests and does not turn without end; it accepts
+// again once there is one.
+func TestListenerRestsWithoutDescriptors(t *testing.T) {
+	k := &shortKernel{Kernel: newLoop(t).kernel, short: true}
+	l := NewOn(k, func() {})
+	taken := 0
+	n, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(s *Socket, _ bool) Handler {
+		taken++
+		s.Close()
+		return &sink{s: s}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &sink{}
+	if client.s, err = l.Dial(n.Addr(), client); err != nil {
+		t.Fatal(err)
+	}
+	client.s.Want(false, false)
+	for begin := time.Now(); time.Since(begin) < 2*shortageRest; {
+		if err := l.Turn(true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if k.tries < 2 || k.tries > 10 {
+		t.Errorf("%d tries to accept in %v", k.tries, 2*shortageRest)
+	}
+	k.short = false
+	for begin := time.Now(); taken == 0 && time.Since(begin) < 5*time.Second; {
+		if err := l.Turn(true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if taken != 1 {
+		t.Error("not accepted when there was a descriptor again")
+	}
+	client.s.Close()
+	n.Close()
+}
+
+// shortKernel is a kernel whose process has no descriptor left for what it would accept.
+type shortKernel struct {
+	Kernel
+	short bool
+	tries int
+}
+
+func (k *shortKernel) Accept(fd int) (int, error) {
+	if k.short {
+		k.tries++
+		return -1, ErrDescriptors
+	}
+	return k.Kernel.Accept(fd)
+}
