--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -241,6 +241,9 @@
 
 // settle closes the client's account: all the time from its arrival on was wanted.
 func (c *client) settle() {
+	if c.state == clientEnding || c.state == clientGone {
+		return // it was closed when the client had what it wanted
+	}
 	c.stand()
 	c.w.ledger.want(c.class, c.arrived, c.w.loop.Now())
 }
