The seam's cost on the path of a line is gone: errors are compared, not searched

Change: a turn without urgent sockets looks at its events once; Read and Write compare a kernel's ErrAgain, which comes unwrapped, and look for nothing where there is no error.

--- a/internal/poll/epoll.go
+++ b/internal/poll/epoll.go
@@ -210,12 +210,13 @@
 func (k *epoll) Read(fd int, p []byte) (int, error) {
 	for {
 		n, err := unix.Read(fd, p)
-		switch {
-		case err == nil:
+		switch err {
+		case nil:
 			return n, nil
-		case errors.Is(err, unix.EAGAIN):
+		case unix.EAGAIN:
 			return 0, ErrAgain
-		case !errors.Is(err, unix.EINTR):
+		case unix.EINTR:
+		default:
 			return 0, err
 		}
 	}
@@ -225,12 +226,13 @@
 func (k *epoll) Send(fd int, p []byte) (int, error) {
 	for {
 		n, err := unix.SendmsgN(fd, p, nil, nil, unix.MSG_NOSIGNAL)
-		switch {
-		case err == nil:
+		switch err {
+		case nil:
 			return n, nil
-		case errors.Is(err, unix.EAGAIN):
+		case unix.EAGAIN:
 			return 0, ErrAgain
-		case !errors.Is(err, unix.EINTR):
+		case unix.EINTR:
+		default:
 			return 0, err
 		}
 	}
--- a/internal/poll/kernel.go
+++ b/internal/poll/kernel.go
@@ -42,7 +42,7 @@
 	Watch(fd int, want Interest, slot, gen int32) error
 	Rewatch(fd int, want Interest, slot, gen int32)
 
-	// Read and Send move bytes of a connection: ErrAgain if there are none, or no room. Read returns 0 bytes
+	// Read and Send move bytes of a connection: ErrAgain, unwrapped, if there are none, or no room. Read returns 0 bytes
 	// without an error once the other end has ended its sending.
 	Read(fd int, p []byte) (int, error)
 	Send(fd int, p []byte) (int, error)
--- a/internal/poll/loop.go
+++ b/internal/poll/loop.go
@@ -82,7 +82,9 @@
 		return err
 	}
 	l.now = l.kernel.Now()
-	l.tellUrgent(l.events[:n])
+	if len(l.urgent) > 0 {
+		l.tellUrgent(l.events[:n])
+	}
 	for i := range n {
 		e := &l.events[i]
 		if e.Slot == WakeSlot {
--- a/internal/poll/socket.go
+++ b/internal/poll/socket.go
@@ -1,7 +1,6 @@
 package poll
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -62,25 +61,27 @@
 func (s *Socket) Read(p []byte) (int, error) {
 	n, err := s.loop.kernel.Read(s.fd, p)
 	switch {
-	case err == nil && n == 0:
+	case n > 0:
+		return n, nil
+	case err == nil:
 		return 0, io.EOF
-	case err != nil && !errors.Is(err, ErrAgain):
-		return 0, fmt.Errorf("read: %w", err)
+	case err == ErrAgain:
+		return 0, err
 	}
-	return n, err
+	return 0, fmt.Errorf("read: %w", err)
 }
 
 // Write writes as much as the socket takes now, which may be nothing. A broken connection is an error and
 // raises no SIGPIPE.
 func (s *Socket) Write(p []byte) (int, error) {
 	n, err := s.loop.kernel.Send(s.fd, p)
-	switch {
-	case errors.Is(err, ErrAgain):
+	switch err {
+	case nil:
+		return n, nil
+	case ErrAgain:
 		return 0, nil
-	case err != nil:
-		return 0, fmt.Errorf("write: %w", err)
 	}
-	return n, nil
+	return 0, fmt.Errorf("write: %w", err)
 }
 
 // CloseWrite ends the sending on the connection; what was written still arrives.
