The stall with unread news of a drain has a test that fails without the fix

Change: one proxy at close range: a hop comes up and news of its target's drain arrives while the process is stalled.

--- a/internal/instance/hard_test.go
+++ b/internal/instance/hard_test.go
@@ -301,3 +301,23 @@
 		}
 	}
 }
+
+// A process is stalled while a hop comes up and then news arrives that its target drains. The news is read first when the
+// process runs again: the hop is given up, and nothing new reaches the target.
+func TestNewsComesBeforeHopsAfterAStall(t *testing.T) {
+	s := newScene(t, 1)
+	s.client("a", 2*time.Second)
+	for s.inst.Count.Hops == 0 {
+		s.run(ms / 10)
+	}
+	s.proxy.Stall(700 * ms)
+	s.run(5 * ms) // the hop is up, which the process has not seen
+	s.tell(fmt.Sprintf(`{"seq":2,"whole":false,"hosts":[{"host":"s0","dial":%q,"health":"DRAINING","site":"z"}]}`, s.at(s.relays[0])))
+	s.run(2 * time.Second)
+	if e := s.relays[0].asked("a"); e != nil {
+		t.Errorf("the target that drains got %q", e.got)
+	}
+	if s.inst.Count.HopNoConnect != 1 {
+		t.Errorf("%+v", s.inst.Count)
+	}
+}
