Cold servers take their groups at once, and drained ones empty evenly across the fleet

The six new ones, booted at 6.1 to 10.1 s, report loads of 0.00 to 0.10 until 20 s.

At fault: leave() rounds its step up, so that whoever holds one connection there moves it in the first step, "evenly over 3 s" for one proxy and at once for 80. draw() and offer() let a cold server have a connection only after an own one ended well, within 1.5 s; a proxy of 80 sees an end a minute and a request every 15 s, so that offers lapse unused. And what did go there was a stray of a group that pays three loads anew.

Change: leave() draws the fraction. drawGroup() ranks cold servers too and lets them stand by a draw: warmth over the load that the warm ones report, times a fifth of the fall multiple, 0.4 of that for clients that come back in waves.

Both tests fail without the change (80 of 80 in the first step; 0 of 4000).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,6 +22,9 @@
 	jitter      = 0.2  // part of a timer that is drawn, so that relays do not act in step
 	scanSize    = 3    // backends of a sampled scan
 	fallShare   = 0.8  // part of the fall multiple that all relays mean to send a cold backend
+	coldShare   = 0.2  // likewise by the ranks of groups, of which a large one brings several even parts
+	waveShare   = 0.4  // of that for clients that were moved, cut off or held: they come in waves
+	borneLeast  = 0.25 // load that the warm backends are taken to bear at the least
 	drawTries   = 6    // draws for each backend of a sample, so that few ready ones are found
 	heldFresh   = 2    // doublings of that age for requests that were held: their looks are most by far
 	groupRanks  = 6    // backends on which a group may spill at all relays alike
@@ -116,7 +119,10 @@
 			return cmp.Compare(b.class(than.Class).Worth, b.class(r.Class).Worth)
 		})
 		steps := max(int(k.empty.Sub(now)/leaveStep), 1)
-		for _, r := range open[:(len(open)+steps-1)/steps] {
+		// A part that is no whole number is drawn: each of many relays holds one or two there, and rounded
+		// up all of these would go in the first step, at all relays at once.
+		part := float64(len(open))/float64(steps) + b.rng.Float64()
+		for _, r := range open[:min(int(part), len(open))] {
 			r.moved = true
 			b.host.Move(r.ID)
 		}
@@ -210,6 +216,38 @@
 	}
 }
 
+// mayTake draws whether a request may go to a backend by its group's rank; a warm one always may. The even
+// part of the new connections is what fills a warm one to the load that is reported. A cold one gets as many
+// times that as its warmth allows for, at a fifth of the fall multiple, at all relays together. That needs no
+// luck of a relay's own: its connections may end once in a minute, while the cold one warms up in twenty
+// seconds and the warm ones are overloaded.
+func (b *Balancer) mayTake(now time.Time, r *request, k *backend, load float64) bool {
+	w := b.warmth(now, k)
+	if w >= 1 {
+		return true
+	}
+	p := w / load * b.cfg.Rules.FallMultiple * coldShare
+	if r.Again || r.parks > 0 {
+		p *= waveShare
+	}
+	return b.rng.Float64() < p
+}
+
+// borne is the mean load of the warm backends of which a report is known, 1 where there is none.
+func (b *Balancer) borne(now time.Time) float64 {
+	seen, load := 0.0, 0.0
+	for _, k := range b.ready {
+		if !k.seen.IsZero() && b.warmth(now, k) >= 1 {
+			seen++
+			load += 1 - k.weight/fullWeight
+		}
+	}
+	if seen == 0 {
+		return 1
+	}
+	return max(load/seen, borneLeast)
+}
+
 // offer follows an own connection that ended well at a warm backend. A cold one gets new connections in no
 // other way: it looks emptiest to every relay at once, and the requests of a bad time come again and again.
 // But what ends well was borne by the warm ones. The part of it that one of them bears, times a cold one's
@@ -235,13 +273,13 @@
 // that was held, another of the first groupRanks. All relays rank alike without a word between them, so a
 // group and its spills stay together and few backends pay for it.
 func (b *Balancer) drawGroup(now time.Time, r *request) {
-	h := hash(r.Group)
+	h, load := hash(r.Group), b.borne(now)
 	var ranks [groupRanks]uint64
 	for _, k := range b.ready {
 		rank := mix(h ^ k.hash)
 		n := len(r.sample)
-		if b.warmth(now, k) < 1 || n == groupRanks && rank <= ranks[n-1] {
-			continue // a cold one that ranks first would draw all of the group at once
+		if n == groupRanks && rank <= ranks[n-1] || !b.mayTake(now, r, k, load) {
+			continue
 		}
 		if n < groupRanks {
 			r.sample = append(r.sample, k)
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -586,3 +586,74 @@
 		t.Errorf("%d timers with nothing that drains", n)
 	}
 }
+
+// Where eighty relays hold one or two connections each on a backend that drains, a part that is rounded up is all of
+// them: they were moved at once, everywhere, and came back at once.
+func TestManyRelaysEmptyADrainingBackendEvenly(t *testing.T) {
+	moved, first := 0, 0
+	for seed := range uint64(80) {
+		cfg := config()
+		cfg.Balancers = 80
+		s := start(t, cfg, seed, 2)
+		s.b.Open(s.now, ask(1), "b0")
+		s.take()
+		s.b.Members(s.now, ListPatch, []Backend{{ID: "b0", Zone: "here", State: Draining}})
+		first += s.count(s.actions, "move")
+		for end := s.now.Add(leaveWithin); s.now.Before(end); {
+			s.now = s.now.Add(leaveStep)
+			s.b.Timer(s.now, timerLeave)
+		}
+		moved += s.count(s.take(), "move")
+	}
+	if moved != 80 || first > 16 {
+		t.Errorf("%d of 80 moved, %d of them in the first step", moved, first)
+	}
+}
+
+// Cold backends take the groups that rank them at once, without an own connection having ended before, and all relays
+// together stay under what makes one fall, even where one group is half of the traffic. Waves come to less.
+func TestColdBackendsTakeTheirGroups(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		cfg := config()
+		cfg.Balancers, cfg.Groups = 80, true
+		s := start(t, cfg, 3, 4)
+		s.now = s.now.Add(100 * sec)
+		for i := range 4 {
+			s.b.Probed(s.now, "b"+strconv.Itoa(i), OK, load(0.5))
+		}
+		var list []Backend
+		for i := range 6 {
+			list = append(list, Backend{ID: "c" + strconv.Itoa(i), Zone: "here", Boot: s.now.Add(-5 * sec)})
+		}
+		s.b.Members(s.now, ListPatch, list)
+		warmth := s.b.warmth(s.now, s.b.byID["c0"])
+		const asked = 4000
+		sent := map[string]float64{}
+		cold := 0.0
+		for id := RequestID(1); id <= asked; id++ {
+			q := ask(id)
+			if q.Again = again; id%2 == 0 {
+				q.Group = "half"
+			} else {
+				q.Group = strconv.Itoa(int(id % 101))
+			}
+			at := s.place(q, func(string) float64 { return 0.5 })
+			s.b.Started(s.now, id)
+			s.b.Gone(s.now, id)
+			s.finish(id, true, Cancelled)
+			s.b.byID[at].fresh = 0
+			if sent[at]++; at[0] == 'c' {
+				cold++
+			}
+		}
+		even := asked / (4 * 0.5) // what a relay can do: the warm ones bear the traffic at half load
+		for at, n := range sent {
+			if at[0] == 'c' && n > even*warmth*cfg.Rules.FallMultiple {
+				t.Errorf("again %v: %v of %v to %s, which is at %.2f", again, n, even, at, warmth)
+			}
+		}
+		if least := map[bool]float64{false: 0.15, true: 0.05}[again]; cold < least*asked || cold > 0.7*asked {
+			t.Errorf("again %v: %v of %d to cold ones", again, cold, asked)
+		}
+	}
+}
