Discovery is asked at a pace set by the number of proxies; cold servers take more

After 56 proxies are killed at 12.6 s, 5 of about 30 calls a second succeed: most of the fleet works with a list from before a release of the servers.

Checked: with watches of 20 s alone, 31 get in at the start and still none of the retries (a call that fails late has used up its turn: about 15 a second are handled, whether or not anyone still waits). With no watch but a question every 2 s: 80 answers at 0 s, then none for 25 s. So the fault is calls that come together, at the start, after each change and after shared failures, in routes.Watch.call, answer and fail, not the length of the wait alone.

Change: routes.PaceOf. Waits grow with the number of proxies to 4 calls a second for all; what all would ask together is drawn over Balancers/10 s, at most 0.8 of AskWithin; retries start at a quarter of that. Up to ten proxies ask as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,8 +22,8 @@
 	jitter      = 0.2  // part of a timer that is drawn, so that relays do not act in step
 	scanSize    = 3    // backends of a sampled scan
 	fallShare   = 0.8  // part of the fall multiple that all relays mean to send a cold backend
-	coldShare   = 0.2  // likewise by the ranks of groups, of which a large one brings several even parts
-	waveShare   = 0.4  // of that for clients that were moved, cut off or held: they come in waves
+	coldShare   = 0.4  // likewise by the ranks of groups, of which a large one brings several even parts
+	waveShare   = 0.5  // of that for clients that were moved, cut off or held: they come in waves
 	borneLeast  = 0.25 // load that the warm backends are taken to bear at the least
 	drawTries   = 6    // draws for each backend of a sample, so that few ready ones are found
 	heldFresh   = 2    // doublings of that age for requests that were held: their looks are most by far
@@ -218,8 +218,8 @@
 
 // mayTake draws whether a request may go to a backend by its group's rank; a warm one always may. The even
 // part of the new connections is what fills a warm one to the load that is reported. A cold one gets as many
-// times that as its warmth allows for, at a fifth of the fall multiple, at all relays together. That needs no
-// luck of a relay's own: its connections may end once in a minute, while the cold one warms up in twenty
+// times that as its warmth allows for, at a part of the fall multiple, at all relays together. That needs no luck
+// of a relay's own: its connections may end once in a minute, while the cold one warms up in twenty
 // seconds and the warm ones are overloaded.
 func (b *Balancer) mayTake(now time.Time, r *request, k *backend, load float64) bool {
 	w := b.warmth(now, k)
@@ -278,7 +278,7 @@
 	for _, k := range b.ready {
 		rank := mix(h ^ k.hash)
 		n := len(r.sample)
-		if n == groupRanks && rank <= ranks[n-1] || !b.mayTake(now, r, k, load) {
+		if n == groupRanks && rank <= ranks[n-1] || k.shunned(now) || !b.mayTake(now, r, k, load) {
 			continue
 		}
 		if n < groupRanks {
--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -36,9 +36,11 @@
 
 // DiscoveryConfig is what discovery can do.
 type DiscoveryConfig struct {
-	Call    time.Duration // that one call takes; calls are answered in turn
-	Line    time.Duration // for each entry of an answer
-	Timeout time.Duration // a call that would wait longer for its turn is answered 503
+	Call time.Duration // that one call takes; calls are answered in turn
+	Line time.Duration // for each entry of an answer
+	// Timeout is how long a call may wait for its turn. One that waits longer is answered 503 then, and its turn is used
+	// up all the same; where twice as much work is queued, a call is answered 503 at once. 0: any call waits.
+	Timeout time.Duration
 }
 
 // Registry is the list that discovery tells of. It outlives a discovery that goes down.
@@ -120,15 +122,26 @@
 // Addr is where it listens.
 func (d *Discovery) Addr() netip.AddrPort { return d.listener.Addr() }
 
-// News tells that the list has changed: watches end with an answer.
+// News tells that the list has changed: watches, which had their turns, end with an answer.
 func (d *Discovery) News() {
+	now := d.loop.Now()
 	for _, k := range slices.Clone(d.calls) {
 		if k.state == callWatching {
-			k.turn()
+			d.work(now, k, 0)
+			k.due()
 		}
 	}
 }
 
+// work books what a call takes.
+func (d *Discovery) work(now time.Time, k *discoveryCall, call time.Duration) {
+	entries, _ := d.list.list(k.after)
+	if d.free.Before(now) {
+		d.free = now
+	}
+	d.free = d.free.Add(call + time.Duration(len(entries))*d.c.Line)
+}
+
 // Hang has it send half of each answer and then nothing, or go on as usual.
 func (d *Discovery) Hang(on bool) { d.hang = on }
 
@@ -220,11 +233,6 @@
 			k.wait = now.Add(time.Duration(min(max(ms, 0), 60000)) * time.Millisecond)
 		}
 	}
-	if k.after >= 0 && k.after == k.d.list.seq && !k.wait.IsZero() { // nothing new yet
-		k.state = callWatching
-		k.d.loop.Arm(&k.timer, k.wait)
-		return
-	}
 	k.turn()
 }
 
@@ -232,25 +240,33 @@
 func (k *discoveryCall) turn() {
 	d := k.d
 	now := d.loop.Now()
-	if d.free.Before(now) {
-		d.free = now
-	}
 	k.state = callQueued
-	if k.full = d.c.Timeout > 0 && d.free.Sub(now) > d.c.Timeout; k.full {
-		d.loop.Arm(&k.timer, now.Add(d.c.Timeout))
+	queue := max(d.free.Sub(now), 0)
+	switch limit := d.c.Timeout; {
+	case limit > 0 && queue > 2*limit:
+		k.full = true
+		k.due()
 		return
+	case limit > 0 && queue > limit:
+		k.full = true
+		d.loop.Arm(&k.timer, now.Add(limit))
+	default:
+		d.loop.Arm(&k.timer, now.Add(queue+d.c.Call))
 	}
-	entries, _ := d.list.list(k.after)
-	d.free = d.free.Add(d.c.Call + time.Duration(len(entries))*d.c.Line)
-	d.loop.Arm(&k.timer, d.free)
+	d.work(now, k, d.c.Call)
 }
 
-// due answers: the call's turn is over, or nothing new came while it watched.
+// due answers: the call's turn is over, or its watch is.
 func (k *discoveryCall) due() {
 	if k.full {
 		k.write("503 Service Unavailable", nil)
 		return
 	}
+	if k.state == callQueued && k.after >= 0 && k.after == k.d.list.seq && k.d.loop.Now().Before(k.wait) { // nothing new yet
+		k.state = callWatching
+		k.d.loop.Arm(&k.timer, k.wait)
+		return
+	}
 	entries, whole := k.d.list.list(k.after)
 	body, err := json.Marshal(struct {
 		Seq   int64   `json:"seq"`
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -83,7 +83,8 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	e.module = module
-	e.watch = routes.NewWatch(c.Loop, c.Discovery, c.Known.Seq, rand.New(rand.NewPCG(c.Seed, 1)), &c.Count.Watches, e.news)
+	e.watch = routes.NewWatch(c.Loop, c.Discovery, c.Known.Seq, routes.PaceOf(c.Settings.Config.Balancers, c.Settings.Config.Rules.AskWithin),
+		rand.New(rand.NewPCG(c.Seed, 1)), &c.Count.Watches, e.news)
 	module.Start(e.loop.Now())
 	e.table.Merge(c.Known)
 	e.push(event{kind: evList, list: balance.ListStale, entries: backends(c.Known.Hosts)})
--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -20,6 +20,14 @@
 	// All proxies lose discovery together, which takes a few calls a second: their retries are drawn apart.
 	retryFrom = 250 * time.Millisecond
 	retryMost = 2 * time.Second
+	// callsPerS is what all proxies together ask of discovery when they come at once: it takes a few calls a second in
+	// turn, and one that has waited too long in its queue fails after it has held up the others.
+	callsPerS = 10
+	// watchesPerS is what the waits of all proxies together end in a second.
+	watchesPerS = 4
+	longestWait = 30 * time.Second
+	// togetherMost is how many proxies may come at once all the same.
+	togetherMost = 10
 	// A new address counts as having told all its news 4 s after it was given, reached or not: for so long the
 	// pauses between tries don't grow.
 	hurryFor = 4 * time.Second
@@ -27,10 +35,30 @@
 	fromNothing = -1
 )
 
+// Pace is how a proxy spares a discovery that it shares with many others. The zero Pace is that of one proxy alone.
+type Pace struct {
+	Wait   time.Duration // of a watch; at least 2 s
+	Spread time.Duration // calls that all proxies would make together are drawn over this; 0: they are made at once
+}
+
+// PaceOf returns the Pace of one of so many proxies. A call is made at the latest within half of askWithin, the time
+// after which news counts as told to a proxy that does not ask; 0: there is no such time.
+func PaceOf(proxies int, askWithin time.Duration) Pace {
+	p := Pace{Wait: min(max(time.Duration(proxies)*time.Second/watchesPerS, watchWait), longestWait)}
+	if proxies > togetherMost {
+		p.Spread = time.Duration(proxies) * time.Second / callsPerS
+	}
+	if askWithin > 0 {
+		p.Spread = min(p.Spread, askWithin*4/5)
+	}
+	return p
+}
+
 // Watch keeps a watch on discovery: the next call follows each answer at once, on the same connection where
 // that stays open. It owns its connection, its timer and its buffers.
 type Watch struct {
 	loop  *poll.Loop
+	pace  Pace
 	addr  netip.AddrPort
 	rng   *rand.Rand
 	seq   int64
@@ -59,8 +87,9 @@
 
 // NewWatch returns a Watch that goes on from version seq. news gets each list, or why a call
 // failed; calls counts them.
-func NewWatch(loop *poll.Loop, addr netip.AddrPort, seq int64, rng *rand.Rand, calls *int, news func(*List, error)) *Watch {
-	w := &Watch{calls: calls, loop: loop, addr: addr, seq: seq, rng: rng, news: news}
+func NewWatch(loop *poll.Loop, addr netip.AddrPort, seq int64, pace Pace, rng *rand.Rand, calls *int, news func(*List, error)) *Watch {
+	pace.Wait = max(pace.Wait, watchWait)
+	w := &Watch{pace: pace, calls: calls, loop: loop, addr: addr, seq: seq, rng: rng, news: news}
 	w.timer.Fire = w.due
 	return w
 }
@@ -68,8 +97,18 @@
 // Start makes a call unless one is out or about to be made.
 func (w *Watch) Start() {
 	if w.state == watchOff {
+		w.next()
+	}
+}
+
+// next makes the next call: at once, or where many proxies would come together, at a time that is drawn.
+func (w *Watch) next() {
+	if w.pace.Spread <= 0 || w.loop.Now().Before(w.hurry) {
 		w.call()
+		return
 	}
+	w.state = watchResting
+	w.loop.After(&w.timer, time.Duration(float64(w.pace.Spread)*w.rng.Float64()))
 }
 
 // Point moves the watch to another address, at once. Nothing that the old one may still say counts: its
@@ -132,8 +171,8 @@
 func (w *Watch) ask() {
 	w.state = watchAsking
 	w.in = w.in[:0]
-	w.out = appendCall(w.out[:0], w.addr.String(), w.seq, watchWait.Milliseconds())
-	w.loop.After(&w.timer, watchWait+answerGrace)
+	w.out = appendCall(w.out[:0], w.addr.String(), w.seq, w.pace.Wait.Milliseconds())
+	w.loop.After(&w.timer, w.pace.Wait+answerGrace)
 	w.write()
 }
 
@@ -212,8 +251,13 @@
 	} else {
 		w.hangUp()
 	}
-	// The watch goes on only if the next call follows within 200 ms: it is made before the news is used.
-	w.call()
+	// The watch goes on only if the next call follows within 200 ms: it is made before the news is used. But a change
+	// ends the watches of all proxies in the same moment, and many of them can't go on at once.
+	if len(list.Hosts) > 0 {
+		w.next()
+	} else {
+		w.call()
+	}
 	w.news(list, nil)
 }
 
@@ -231,7 +275,7 @@
 func (w *Watch) fail(err error) {
 	w.hangUp()
 	w.state = watchResting
-	rest := min(retryFrom<<min(w.tries, 8), retryMost)
+	rest := min(max(retryFrom, w.pace.Spread/4)<<min(w.tries, 8), max(retryMost, w.pace.Spread))
 	if w.loop.Now().Before(w.hurry) {
 		rest = retryFrom
 	}
