--- a/balance/balance.go
+++ b/balance/balance.go
@@ -218,8 +218,8 @@
 
 // mayTake draws whether a request may go to a backend by its group's rank; a warm one always may. The even
 // part of the new connections is what fills a warm one to the load that is reported. A cold one gets as many
-// times that as its warmth allows for, at a part of the fall multiple, at all relays together. That needs no luck
-// of a relay's own: its connections may end once in a minute, while the cold one warms up in twenty
+// times that as its warmth allows for, at a part of the fall multiple, at all relays together. That needs no
+// luck of a relay's own: its connections may end once in a minute, while the cold one warms up in twenty
 // seconds and the warm ones are overloaded.
 func (b *Balancer) mayTake(now time.Time, r *request, k *backend, load float64) bool {
 	w := b.warmth(now, k)
