--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,7 +29,9 @@
 	heldFresh   = 2    // doublings of that age for requests that were held: their looks are most by far
 	groupRanks  = 6    // backends on which a group may spill at all relays alike
 	groupCost   = 2.0  // a backend that would pay for a group anew needs this many times the weight
-	groupSpill  = 25.0 // and this many more idle points, for each place after the first
+	groupSpill  = 25.0 // and this many more idle points, for each place after the first...
+	groupSeen   = 4.0  // ...where so few relays share the backends that each knows who holds the group...
+	groupLeast  = 0.5  // ...and this part of them where it can't tell
 	shedWeight  = 25.0 // idle points below which a backend takes no new connection
 	freshCost   = 2.0  // idle points that a placement takes until a report tells
 	worthMost   = 2.0  // most that the bar rises by a worth below the mean
@@ -226,7 +228,7 @@
 	if w >= 1 {
 		return true
 	}
-	p := w / load * b.cfg.Rules.FallMultiple * coldShare
+	p := w / load * b.cfg.Rules.FallMultiple * coldShare * k.weight / fullWeight // what it has already counts
 	if r.Again || r.parks > 0 {
 		p *= waveShare
 	}
@@ -360,6 +362,7 @@
 	other := slices.ContainsFunc(r.sample, func(k *backend) bool {
 		return b.usable(now, r, k) && !k.shunned(now)
 	})
+	spill := groupSpill * min(max(groupSeen/float64(b.cfg.Balancers), groupLeast), 1)
 	bar := shedWeight * min(max(b.excess(r)/overSlack, 1), overMost)
 	if w := b.class(r.Class).Worth; w > 0 { // what is worth less than most leaves the last room to them
 		bar *= min(max(math.Sqrt(b.worth/w), 1), worthMost)
@@ -380,7 +383,7 @@
 		need := bar
 		if r.Group != "" && b.cfg.Groups && !k.holds(r.Group) {
 			// It would pay for the group anew: later in the sample, only with ever more room.
-			need += groupSpill * float64(i)
+			need += spill * float64(i)
 			count *= math.Pow(groupCost, float64(i))
 		}
 		if need <= max(bar, k.weight) { // else it would not come for a while: that room is another's
@@ -427,9 +430,11 @@
 	return float64(b.tenants[r.Tenant]) * float64(b.cfg.Balancers) / b.cfg.Tenants[r.Tenant].Connections
 }
 
-// usable tells whether a request may go to a backend.
+// usable tells whether a request may go to a backend. A cold one must have told its load just now: in a wave,
+// one that is about to fall answers no probes, and its weight is that of better times.
 func (b *Balancer) usable(now time.Time, r *request, k *backend) bool {
-	return k.State == Ready && !slices.Contains(r.tried, k) && b.repeatable(now, r, k)
+	told := !b.cfg.MayProbe || now.Sub(k.seen) < reportLag || b.warmth(now, k) >= 1
+	return told && k.State == Ready && !slices.Contains(r.tried, k) && b.repeatable(now, r, k)
 }
 
 // warmth is the part of its capacity that a backend must have by now.
--- a/balance/design_test.go
+++ b/balance/design_test.go
@@ -285,7 +285,7 @@
 // counted as wanting them, four of them stood at 0.6 while 75% were refused (ibf684b).
 func TestHeldWantsOnlyWhereItMayGo(t *testing.T) {
 	cfg := config()
-	cfg.Groups = true
+	cfg.Groups, cfg.Balancers = true, 3
 	s := start(t, cfg, 1, 3)
 	s.take()
 	q := ask(1)
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -683,3 +683,27 @@
 		s.take()
 	}
 }
+
+// In a wave a cold backend that is about to fall answers no probe in time. It was sent what its weight of better times
+// allowed, by relays that had never had a word from it: seven times what it could do (join+vast, seed 9).
+func TestColdBackendWithoutReportGetsNothing(t *testing.T) {
+	cfg := config()
+	cfg.Groups = true
+	for seed := range uint64(20) {
+		s := start(t, cfg, seed, 0)
+		s.b.Members(s.now, ListPatch, []Backend{{ID: "cold", Zone: "here", Boot: s.now.Add(-10 * sec)}})
+		s.take()
+		q := ask(1)
+		q.Group = "g"
+		s.b.Request(s.now, q)
+		for end := s.now.Add(q.Left); s.now.Before(end); s.now = s.now.Add(20 * ms) { // no probe is answered
+			s.b.Timer(s.now, q.ID<<timerBits|timerRequest)
+			if s.count(s.take(), "send") > 0 {
+				t.Fatalf("seed %d: sent to a cold backend that has not told its load", seed)
+			}
+		}
+		if s.b.requests[1] != nil {
+			t.Fatalf("seed %d: the request has no answer", seed)
+		}
+	}
+}
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -83,7 +83,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	e.module = module
-	e.watch = routes.NewWatch(c.Loop, c.Discovery, c.Known.Seq, routes.PaceOf(c.Settings.Config.Balancers, c.Settings.Config.Rules.AskWithin),
+	e.watch = routes.NewWatch(c.Loop, c.Discovery, c.Known.Seq, routes.AskEvery(c.Settings.Config.Balancers, c.Settings.Config.Rules.AskWithin),
 		rand.New(rand.NewPCG(c.Seed, 1)), &c.Count.Watches, e.news)
 	module.Start(e.loop.Now())
 	e.table.Merge(c.Known)
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -429,7 +429,7 @@
 		t.Fatal(err)
 	}
 	b.engine.watch.Stop()
-	b.engine.watch = routes.NewWatch(b.loop, l.Addr(), 7, routes.Pace{}, rand.New(rand.NewPCG(1, 1)), &b.count.Watches, b.engine.news)
+	b.engine.watch = routes.NewWatch(b.loop, l.Addr(), 7, 0, rand.New(rand.NewPCG(1, 1)), &b.count.Watches, b.engine.news)
 	b.engine.watch.Start()
 	b.until("a call", func() bool { return len(calls) == 1 && bytes.Contains(calls[0].got, []byte("\r\n\r\n")) })
 	if !strings.HasPrefix(string(calls[0].got), "GET /registry/instances?index=7&wait=") {
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -62,7 +62,7 @@
 
 // watchAt has the bed's engine watch an address as after its start.
 func (b *bed) watchAt(at netip.AddrPort) {
-	b.engine.watch = routes.NewWatch(b.loop, at, 7, routes.Pace{}, rand.New(rand.NewPCG(1, 1)), &b.count.Watches, b.engine.news)
+	b.engine.watch = routes.NewWatch(b.loop, at, 7, 0, rand.New(rand.NewPCG(1, 1)), &b.count.Watches, b.engine.news)
 	b.engine.watch.Start()
 }
 
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -116,22 +116,22 @@
 	})
 }
 
-// A few proxies ask at once, as they ever did; many share what discovery can take, and none stays silent for so long that
-// news counts as told.
-func TestPace(t *testing.T) {
+// A few proxies watch, as they ever did; many share what discovery can take, and none stays silent for so long that news
+// counts as told.
+func TestAskEvery(t *testing.T) {
 	for _, tt := range []struct {
-		proxies int
-		within  time.Duration
-		want    Pace
+		proxies      int
+		within, want time.Duration
 	}{
-		{0, 0, Pace{Wait: 2 * time.Second}},
-		{3, 10 * time.Second, Pace{Wait: 2 * time.Second}},
-		{20, 10 * time.Second, Pace{Wait: 5 * time.Second, Spread: 2 * time.Second}},
-		{80, 10 * time.Second, Pace{Wait: 20 * time.Second, Spread: 8 * time.Second}},
-		{1000, 10 * time.Second, Pace{Wait: 30 * time.Second, Spread: 8 * time.Second}},
+		{0, 0, 0},
+		{3, 10 * time.Second, 0},
+		{25, 10 * time.Second, 2 * time.Second},
+		{80, 10 * time.Second, 6400 * time.Millisecond},
+		{1000, 10 * time.Second, 6400 * time.Millisecond},
+		{1000, 0, 80 * time.Second},
 	} {
-		if got := PaceOf(tt.proxies, tt.within); got != tt.want {
-			t.Errorf("%d proxies: %+v, not %+v", tt.proxies, got, tt.want)
+		if got := AskEvery(tt.proxies, tt.within); got != tt.want {
+			t.Errorf("%d proxies: %v, not %v", tt.proxies, got, tt.want)
 		}
 	}
 }
--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -20,45 +20,44 @@
 	// All proxies lose discovery together, which takes a few calls a second: their retries are drawn apart.
 	retryFrom = 250 * time.Millisecond
 	retryMost = 2 * time.Second
-	// callsPerS is what all proxies together ask of discovery when they come at once: it takes a few calls a second in
-	// turn, and one that has waited too long in its queue fails after it has held up the others.
-	callsPerS = 10
-	// watchesPerS is what the waits of all proxies together end in a second.
-	watchesPerS = 4
-	longestWait = 30 * time.Second
-	// togetherMost is how many proxies may come at once all the same.
-	togetherMost = 10
 	// A new address counts as having told all its news 4 s after it was given, reached or not: for so long the
 	// pauses between tries don't grow.
 	hurryFor = 4 * time.Second
+	// callsPerS is what all proxies together ask of discovery where they are too many to watch. It takes a few calls a
+	// second in turn, and one that has waited too long in its queue fails after it has held up the others.
+	callsPerS = 12.5
+	// watchMost is how many proxies may watch: a change ends the watches of all in the same moment, and their next calls
+	// come together.
+	watchMost = 10
+	// askSpread is the part of the time between two questions over which it is drawn, to either side.
+	askSpread = 0.25
+	// askGrace is how long the answer to a question may take: a call may wait in discovery's queue.
+	askGrace = 3 * time.Second
 	// fromNothing asks for the whole list.
 	fromNothing = -1
 )
 
-// Pace is how a proxy spares a discovery that it shares with many others. The zero Pace is that of one proxy alone.
-type Pace struct {
-	Wait   time.Duration // of a watch; at least 2 s
-	Spread time.Duration // calls that all proxies would make together are drawn over this; 0: they are made at once
-}
-
-// PaceOf returns the Pace of one of so many proxies. A call is made at the latest within half of askWithin, the time
-// after which news counts as told to a proxy that does not ask; 0: there is no such time.
-func PaceOf(proxies int, askWithin time.Duration) Pace {
-	p := Pace{Wait: min(max(time.Duration(proxies)*time.Second/watchesPerS, watchWait), longestWait)}
-	if proxies > togetherMost {
-		p.Spread = time.Duration(proxies) * time.Second / callsPerS
+// AskEvery returns the mean time between two questions of one of so many proxies, 0 where they are few enough to watch.
+// It stays so far under askWithin, after which news counts as told to a proxy that does not ask, that the longest one that
+// is drawn does as well; 0: there is no such time.
+func AskEvery(proxies int, askWithin time.Duration) time.Duration {
+	if proxies <= watchMost {
+		return 0
 	}
+	every := time.Duration(float64(proxies) / callsPerS * float64(time.Second))
 	if askWithin > 0 {
-		p.Spread = min(p.Spread, askWithin*4/5)
+		every = min(every, askWithin*64/100)
 	}
-	return p
+	return every
 }
 
-// Watch keeps a watch on discovery: the next call follows each answer at once, on the same connection where
-// that stays open. It owns its connection, its timer and its buffers.
+// Watch keeps up with discovery. As one of a few proxies it watches: the next call follows each answer at once, on the same
+// connection where that stays open. As one of many it asks for the whole list every now and then. A watch that went on only
+// after a pause would miss what changed within 200 ms of its last answer, which counts as told. It owns its connection, its
+// timer and its buffers.
 type Watch struct {
 	loop  *poll.Loop
-	pace  Pace
+	every time.Duration // mean time between two questions; 0: it watches
 	addr  netip.AddrPort
 	rng   *rand.Rand
 	seq   int64
@@ -86,29 +85,34 @@
 var errSilent = errors.New("no answer in time")
 
 // NewWatch returns a Watch that goes on from version seq. news gets each list, or why a call
-// failed; calls counts them.
-func NewWatch(loop *poll.Loop, addr netip.AddrPort, seq int64, pace Pace, rng *rand.Rand, calls *int, news func(*List, error)) *Watch {
-	pace.Wait = max(pace.Wait, watchWait)
-	w := &Watch{pace: pace, calls: calls, loop: loop, addr: addr, seq: seq, rng: rng, news: news}
+// failed; calls counts them. With every above 0 it asks at that pace, see AskEvery.
+func NewWatch(loop *poll.Loop, addr netip.AddrPort, seq int64, every time.Duration, rng *rand.Rand, calls *int, news func(*List, error)) *Watch {
+	w := &Watch{every: every, calls: calls, loop: loop, addr: addr, seq: seq, rng: rng, news: news}
 	w.timer.Fire = w.due
 	return w
 }
 
-// Start makes a call unless one is out or about to be made.
+// Start makes a call unless one is out or about to be made. The first question of many proxies comes at a drawn time: they
+// may all have started together, and know a list.
 func (w *Watch) Start() {
-	if w.state == watchOff {
-		w.next()
+	switch {
+	case w.state != watchOff:
+	case w.every > 0:
+		w.rest(time.Duration(float64(w.every) * w.rng.Float64()))
+	default:
+		w.call()
 	}
 }
 
-// next makes the next call: at once, or where many proxies would come together, at a time that is drawn.
-func (w *Watch) next() {
-	if w.pace.Spread <= 0 || w.loop.Now().Before(w.hurry) {
-		w.call()
-		return
-	}
+// rest makes the next call after a while.
+func (w *Watch) rest(d time.Duration) {
 	w.state = watchResting
-	w.loop.After(&w.timer, time.Duration(float64(w.pace.Spread)*w.rng.Float64()))
+	w.loop.After(&w.timer, d)
+}
+
+// pause draws the time to the next question.
+func (w *Watch) pause() time.Duration {
+	return time.Duration(float64(w.every) * (1 + askSpread*(2*w.rng.Float64()-1)))
 }
 
 // Point moves the watch to another address, at once. Nothing that the old one may still say counts: its
@@ -171,8 +175,13 @@
 func (w *Watch) ask() {
 	w.state = watchAsking
 	w.in = w.in[:0]
-	w.out = appendCall(w.out[:0], w.addr.String(), w.seq, w.pace.Wait.Milliseconds())
-	w.loop.After(&w.timer, w.pace.Wait+answerGrace)
+	if w.every > 0 {
+		w.out = appendCall(w.out[:0], w.addr.String(), fromNothing, 0)
+		w.loop.After(&w.timer, askGrace)
+	} else {
+		w.out = appendCall(w.out[:0], w.addr.String(), w.seq, watchWait.Milliseconds())
+		w.loop.After(&w.timer, watchWait+answerGrace)
+	}
 	w.write()
 }
 
@@ -251,11 +260,11 @@
 	} else {
 		w.hangUp()
 	}
-	// The watch goes on only if the next call follows within 200 ms: it is made before the news is used. But a change
-	// ends the watches of all proxies in the same moment, and many of them can't go on at once.
-	if len(list.Hosts) > 0 {
-		w.next()
+	if w.every > 0 {
+		w.hangUp() // discovery is spared the connections too
+		w.rest(w.pause())
 	} else {
+		// The watch goes on only if the next call follows within 200 ms: it is made before the news is used.
 		w.call()
 	}
 	w.news(list, nil)
@@ -274,13 +283,16 @@
 
 func (w *Watch) fail(err error) {
 	w.hangUp()
-	w.state = watchResting
-	rest := min(max(retryFrom, w.pace.Spread/4)<<min(w.tries, 8), max(retryMost, w.pace.Spread))
+	rest := min(retryFrom<<min(w.tries, 8), retryMost)
 	if w.loop.Now().Before(w.hurry) {
 		rest = retryFrom
 	}
 	w.tries++
-	w.loop.After(&w.timer, time.Duration(float64(rest)*(0.5+w.rng.Float64())))
+	// Of many proxies each asks at its usual pace: that all failed is no reason to ask more.
+	if rest = time.Duration(float64(rest) * (0.5 + w.rng.Float64())); w.every > 0 {
+		rest = w.pause()
+	}
+	w.rest(rest)
 	w.news(nil, err)
 }
 
