--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -696,7 +696,7 @@
 		q := ask(1)
 		q.Group = "g"
 		s.b.Request(s.now, q)
-		for end := s.now.Add(q.Left); s.now.Before(end); s.now = s.now.Add(20 * ms) { // no probe is answered
+		for end := s.now.Add(q.Left + 100*ms); s.now.Before(end); s.now = s.now.Add(20 * ms) { // no probe is answered
 			s.b.Timer(s.now, q.ID<<timerBits|timerRequest)
 			if s.count(s.take(), "send") > 0 {
 				t.Fatalf("seed %d: sent to a cold backend that has not told its load", seed)
