Requests that were held look at up to five servers

At fault: draw(), which fills the sample to three however often the request has found no room in three.

Change: one more for each time that it was held, up to two.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,6 +26,7 @@
 	waveShare   = 0.5  // of that for clients that were moved, cut off or held: they come in waves
 	borneLeast  = 0.25 // load that the warm backends are taken to bear at the least
 	drawTries   = 6    // draws for each backend of a sample, so that few ready ones are found
+	heldMore    = 2    // backends that are looked at besides for requests that were held
 	heldFresh   = 2    // doublings of that age for requests that were held: their looks are most by far
 	groupRanks  = 6    // backends on which a group may spill at all relays alike
 	groupCost   = 2.0  // a backend that would pay for a group anew needs this many times the weight
@@ -202,7 +203,7 @@
 			added = true
 		}
 	}
-	want := min(scanSize, len(b.ready))
+	want := min(scanSize+min(r.parks, heldMore), len(b.ready)) // one that was held found no room in a few
 	for tries := 0; tries < drawTries*scanSize && len(r.sample) < want; tries++ {
 		k := b.ready[b.rng.IntN(len(b.ready))]
 		far := k.Zone != b.cfg.Zone && b.rng.Float64() < crossing*b.cfg.Prices.CrossZone
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -707,3 +707,23 @@
 		}
 	}
 }
+
+// A request that was held found no room in its sample: it looks at more backends the next time. Where a part of the fleet
+// is lost, three drawn at random are often all full although others are not.
+func TestHeldRequestsLookFurther(t *testing.T) {
+	s := start(t, config(), 1, 12)
+	s.b.Request(s.now, ask(1))
+	if n := len(s.b.requests[1].sample); n != scanSize {
+		t.Fatalf("%d looked at first", n)
+	}
+	s.answer(s.take(), func(string) float64 { return 0.99 })
+	r := s.b.requests[1]
+	if r.at != nil || r.parks != 1 {
+		t.Fatalf("not held: %d parks", r.parks)
+	}
+	s.now = r.due
+	s.b.Timer(s.now, r.ID<<timerBits|timerRequest)
+	if n := len(r.sample); n != scanSize+1 {
+		t.Errorf("%d looked at after it was held", n)
+	}
+}
