--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -288,9 +288,10 @@
 		rest = retryFrom
 	}
 	w.tries++
-	// Of many proxies each asks at its usual pace: that all failed is no reason to ask more.
+	// Of many proxies each asks less, not more, where all fail: up to four times as seldom, as the rules give four times
+	// as long after a call that failed.
 	if rest = time.Duration(float64(rest) * (0.5 + w.rng.Float64())); w.every > 0 {
-		rest = w.pause()
+		rest = w.pause() << min(w.tries, 2)
 	}
 	w.rest(rest)
 	w.news(nil, err)
