Cold servers take 0.6 of their part of groups, and 0.7 of that in waves

The shares of 0.4 and 0.5 were set when a rule had broken at 1.0 and 1.0, before a cold server had to have told its load within the last second and was drawn by its idle part.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,8 +22,8 @@
 	jitter      = 0.2  // part of a timer that is drawn, so that relays do not act in step
 	scanSize    = 3    // backends of a sampled scan
 	fallShare   = 0.8  // part of the fall multiple that all relays mean to send a cold backend
-	coldShare   = 0.4  // likewise by the ranks of groups, of which a large one brings several even parts
-	waveShare   = 0.5  // of that for clients that were moved, cut off or held: they come in waves
+	coldShare   = 0.6  // likewise by the ranks of groups, of which a large one brings several even parts
+	waveShare   = 0.7  // of that for clients that were moved, cut off or held: they come in waves
 	borneLeast  = 0.25 // load that the warm backends are taken to bear at the least
 	drawTries   = 6    // draws for each backend of a sample, so that few ready ones are found
 	heldMore    = 2    // backends that are looked at besides for requests that were held
