The log says at most once a minute that discovery fails

Need: since many proxies ask discovery at drawn times, every other call may fail where it is overbooked, and each failure after an answer was two lines of the log, at all proxies.

Measured: the new test has 2 lines where there were over 50 for 80 calls.

--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -30,6 +30,8 @@
 	// the route table may take to name its target.
 	adoptMost    = 40 * time.Second
 	adoptUnknown = 2 * time.Second
+	// complainDiscovery is the least time between two lines of the log that discovery fails.
+	complainDiscovery = time.Minute
 )
 
 // Engine drives the module. All of it runs on the loop.
@@ -49,7 +51,8 @@
 	handed    []event // the other half of events' double buffer
 	actions   []action
 	leaving   []*Exchange // whose clients left: they go once the module knows
-	broken    bool        // discovery's last answer failed
+	broken    bool        // discovery's last answer failed, and the log says so
+	complain  time.Time   // the log said so last
 	tuning    Tuning
 }
 
@@ -256,10 +259,11 @@
 func (e *Engine) news(l *routes.List, err error) {
 	if err != nil {
 		e.count.WatchesFailed++
-		if !e.broken {
+		// Where many share discovery, every other call may fail: the counters have them all.
+		if now := e.loop.Now(); !e.broken && (e.complain.IsZero() || now.Sub(e.complain) >= complainDiscovery) {
 			e.log.Printf("discovery: %v", err)
+			e.broken, e.complain = true, now
 		}
-		e.broken = true
 		e.push(event{kind: evList, list: balance.ListBroken})
 		return
 	}
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -458,6 +458,40 @@
 	b.engine.watch.Stop()
 }
 
+// One of many proxies asks for the list now and then. While every other call fails, as in a fleet too large for its
+// discovery, the log says so once a minute, and the list stays.
+func TestAskedDiscoveryThatFails(t *testing.T) {
+	b := newBed(t, 1, false)
+	calls, list := 0, `{"seq":9,"whole":true,"hosts":[{"host":"s0","dial":"127.0.0.1:9","health":"SERVING"}]}`
+	l, err := b.loop.Listen(b.local, func(s *poll.Socket, _ bool) poll.Handler {
+		calls++
+		if calls%2 == 1 {
+			s.Write([]byte("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"))
+		} else {
+			s.Write(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list))
+		}
+		return &end{sock: s}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.engine.watch.Stop()
+	b.log.Reset()
+	b.engine.watch = routes.NewWatch(b.loop, l.Addr(), 7, 50*time.Millisecond, rand.New(rand.NewPCG(1, 1)), &b.count.Watches, b.engine.news)
+	b.engine.watch.Start()
+	begin := b.now()
+	b.until("many calls", func() bool {
+		if b.engine.table.Find("s0") == nil {
+			t.Fatal("the list is gone")
+		}
+		return b.since(begin) > 4*time.Second
+	})
+	if n := strings.Count(b.log.String(), "\n"); b.count.WatchesFailed < 10 || n != 2 {
+		t.Errorf("%d calls of %d failed, %d lines of log:\n%s", b.count.WatchesFailed, calls, n, b.log.String())
+	}
+	b.engine.watch.Stop()
+}
+
 // Who is moved while new clients may still come to this proxy comes back to it, and is moved again.
 func TestDrainMovesNobodyAtFirst(t *testing.T) {
 	b := newBed(t, 1, false)
