Counters per cause for what many proxies do to shared targets and discovery

Need: what a large fleet loses could be counted only with a traced build: placements on cold targets, moves off drained ones, probes that were turned away and calls that an overbooked discovery refused were each part of a larger sum.

--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -42,8 +42,8 @@
 away = 5s
 `, tt.proxies))
 		c := play(t, s, 1).Counters
-		if c.Watches < 200 || float64(c.WatchesFailed) > tt.failed*float64(c.Watches) {
-			t.Errorf("%d proxies: %d of %d calls to discovery failed", tt.proxies, c.WatchesFailed, c.Watches)
+		if c.Watches < 200 || float64(c.WatchesFailed) > tt.failed*float64(c.Watches) || c.WatchesBusy != c.WatchesFailed {
+			t.Errorf("%d proxies: %d of %d calls to discovery failed, %d turned away", tt.proxies, c.WatchesFailed, c.Watches, c.WatchesBusy)
 		}
 	}
 }
@@ -55,9 +55,13 @@
 		file     string
 		happened func(r *Result) bool
 	}{
-		{"mass-kill", func(r *Result) bool { return r.Clients.Cut > 100 && r.Counters.WatchesFailed*10 < r.Counters.Watches }},
-		{"zone-lost", func(r *Result) bool { return r.Counters.Silent > 50 }},
-		{"replaced", func(r *Result) bool { return r.Counters.Moves > 100 }},
+		{"mass-kill", func(r *Result) bool {
+			return r.Clients.Cut > 100 && r.Counters.WatchesFailed*10 < r.Counters.Watches
+		}},
+		{"zone-lost", func(r *Result) bool {
+			return r.Counters.Silent > 50 && r.Counters.MovesDrain < r.Counters.Moves
+		}},
+		{"replaced", func(r *Result) bool { return r.Counters.MovesDrain >= 100 && r.Counters.HopsCold > 0 }},
 	} {
 		for seed := uint64(1); seed <= 2; seed++ {
 			s, err := Read("../../lab/"+tt.file+".ini", "run.length=16s", "run.warm_up=15s", "run.cool_down=0s", "run.audit=10s")
--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -6,6 +6,7 @@
 
 	"ospreyspan/balance"
 	"ospreyspan/internal/poll"
+	"ospreyspan/internal/routes"
 )
 
 // noReport is a report in which everything is absent.
@@ -143,6 +144,9 @@
 	case acMove:
 		if x != nil && x.out && x.standing {
 			e.count.Moves++
+			if to := e.table.Find(x.target.ID); to == nil || to.Health == routes.Draining {
+				e.count.MovesDrain++
+			}
 			x.client.Move()
 			x.Ended(balance.Cancelled, noReport)
 		}
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -244,6 +244,9 @@
 	x.target, x.out = to, true
 	x.hops++
 	e.count.Hops++
+	if born := to.Born(); !born.IsZero() && e.loop.Now().Sub(born) < e.set.Config.Rules.WarmWithin {
+		e.count.HopsCold++
+	}
 	x.client.Hop(to, wait)
 }
 
@@ -251,6 +254,9 @@
 func (e *Engine) Probed(id string, o balance.Outcome, rep balance.Report) {
 	if o != balance.OK {
 		e.count.ProbesFailed++
+		if o == balance.Error {
+			e.count.ProbesRefused++
+		}
 	}
 	e.push(event{kind: evProbed, target: id, outcome: o, report: rep})
 }
@@ -259,6 +265,9 @@
 func (e *Engine) news(l *routes.List, err error) {
 	if err != nil {
 		e.count.WatchesFailed++
+		if errors.Is(err, routes.ErrBusy) {
+			e.count.WatchesBusy++
+		}
 		// Where many share discovery, every other call may fail: the counters have them all.
 		if now := e.loop.Now(); !e.broken && (e.complain.IsZero() || now.Sub(e.complain) >= complainDiscovery) {
 			e.log.Printf("discovery: %v", err)
--- a/internal/proxy/faults_test.go
+++ b/internal/proxy/faults_test.go
@@ -336,8 +336,8 @@
 	b.hops[1].say(t, "ERR\r\n")
 	for !answered() {
 	}
-	if got[0].outcome != balance.Error {
-		t.Errorf("%+v", got[0])
+	if got[0].outcome != balance.Error || b.count.ProbesRefused != 1 {
+		t.Errorf("%+v, %d refused", got[0], b.count.ProbesRefused)
 	}
 	got = nil
 	b.front.Probe(to)
@@ -346,6 +346,9 @@
 			t.Fatal("no end of a probe")
 		}
 	}
+	if b.count.ProbesFailed != 2 || b.count.ProbesRefused != 1 {
+		t.Errorf("%d probes failed, %d of them refused", b.count.ProbesFailed, b.count.ProbesRefused)
+	}
 	if got[0].outcome != balance.TimedOut || b.front.peers["s0"].link.sock != nil {
 		t.Errorf("%+v", got[0])
 	}
--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -82,6 +82,9 @@
 	watchResting // after a failure, until the next try
 )
 
+// ErrBusy is why a call failed that discovery answered 503: it waited there for too long, or discovery is down.
+var ErrBusy = errors.New("status 503")
+
 var errSilent = errors.New("no answer in time")
 
 // NewWatch returns a Watch that goes on from version seq. news gets each list, or why a call
@@ -241,6 +244,8 @@
 	case errors.Is(parseErr, errMore):
 	case parseErr != nil:
 		w.fail(parseErr)
+	case r.status == 503:
+		w.fail(ErrBusy)
 	case r.status != 200:
 		w.fail(fmt.Errorf("status %d", r.status))
 	default:
