Signals are caught before the configuration is read

Seen by reading: the handlers were set after the configuration, the operator's file and the loop, so that a SIGTERM or SIGHUP before that ended the process by the signal (run in cmd/ospreyspan/main.go). Ruled out: signals after that, which wait for the loop.

Now they are caught first and wait in a channel until the loop is there.

Test: a process held while it reads its configuration from a FIFO gets SIGUSR1 and SIGTERM, then its configuration, and ends a planned stop with 0. Without the mend: signals_test.go:65: signal: terminated.

--- a/cmd/ospreyspan/main.go
+++ b/cmd/ospreyspan/main.go
@@ -20,14 +20,21 @@
 func main() { os.Exit(command(os.Args[1:], os.Getenv, os.Stdout, os.Stderr)) }
 
 // signals passes the process's signals to the loop.
-type signals struct{ stop, print, reload atomic.Bool }
+type signals struct {
+	stop, print, reload atomic.Bool
+	caught              chan os.Signal
+}
 
-func (s *signals) watch(loop *poll.Loop) {
-	c := make(chan os.Signal, 8)
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+// catch is the first thing that the program does: a signal that comes before would end the process. What comes before watch waits.
+func (s *signals) catch() {
+	s.caught = make(chan os.Signal, 8)
+	signal.Notify(s.caught, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to end
+}
+
+func (s *signals) watch(loop *poll.Loop) {
 	go func() {
-		for sig := range c {
+		for sig := range s.caught {
 			switch sig {
 			case syscall.SIGUSR1:
 				s.print.Store(true)
@@ -43,6 +50,8 @@
 
 // run serves until a planned stop is over. own is the operator's file, empty for none.
 func run(env func(string) string, own string, out io.Writer) error {
+	var sig signals
+	sig.catch()
 	c, err := loadConfig(env)
 	if err != nil {
 		return err
@@ -56,10 +65,7 @@
 	runtime.GOMAXPROCS(1) // one core is all there is; a second thread of Go's would only be switched to
 	limitMemory(c)
 	logger := log.New(shared.writer(out), "", 0)
-	var (
-		sig   signals
-		proxy *instance.Instance
-	)
+	var proxy *instance.Instance
 	loop, err := poll.New(func() {
 		if sig.print.Swap(false) {
 			proxy.Count.Print(out)
@@ -77,7 +83,7 @@
 		return err
 	}
 	defer loop.Close()
-	sig.watch(loop) // before clients are taken: a signal that came earlier would end the process
+	sig.watch(loop)
 	fleet, err := shared.fleet(c, loop, logger)
 	if err != nil {
 		return err
