Effects, clients that leave and connections that close are judged at the moment of the write

Lines at fault: - Engine.Shutdown, Engine.overdue: BUSY whatever the class; it invites to repeat what may have run. One place (effect.go) now decides for these and for the module's answers. - hop.send: the window of a guarded class, the client's time and its presence were those of the decision, up to the dial time earlier; d=1 went out when no time was left. Now they are checked when the line is written, and the client is read first. - Exchange.Left: a dialling hop was given up only by the module's Cancel, which the settings may not permit. - session.malformed and last: without that permission the hop was closed and the exchange kept for ever. - session.ended: a client that had only ended its sending had no answer. - hop.answer: BUSY with more behind it passed for proof that nothing ran. - Lines.drainStep: what lay unread on connections that had asked for nothing, or in the listener's queue, was reset at the end. - Lines.turnAway: read 8 KiB and closed over the rest. - session.Move, abandon, hop.broke: whole lines of the target in the kernel were lost; a line that failed to go out lost its BYE. - hop.due: an answer that lay unread at the time-out was passed over. peer.Probe: half a line between two probes. - NewEngine: with pushed lists nobody ever asked discovery, as the module asks for a watch only where it must subscribe. Refuted: events for a descriptor that was reused (TestDescriptorReusedInTheSameTurn), a refused client's request in the moment of its time-out (it finds BUSY and is dropped), a probe's idle connection closed under STATS (existing test).

--- a/internal/lab/planted_test.go
+++ b/internal/lab/planted_test.go
@@ -18,7 +18,7 @@
 }{
 	{
 		"a hop that timed out stays open beside the next one", "internal/proxy/hop.go",
-		"	case hopAsking:\n		h.over(balance.TimedOut, noReport)\n", "	case hopAsking:\n		h.s.hop = nil\n		h.s.x.Ended(balance.TimedOut, noReport)\n",
+		"			h.over(balance.TimedOut, noReport)\n", "			h.s.hop = nil\n			h.s.x.Ended(balance.TimedOut, noReport)\n",
 		[]string{"two-hops", "given-back"},
 	},
 	{
--- a/internal/poll/listener.go
+++ b/internal/poll/listener.go
@@ -59,11 +59,26 @@
 const shortageRest = 20 * time.Millisecond
 
 // Ready accepts what is waiting.
-func (n *Listener) Ready(Ready) {
+func (n *Listener) Ready(Ready) { n.batch() }
+
+// AcceptAll accepts all that waits, before Close: what waits then is reset.
+func (n *Listener) AcceptAll() {
+	for range acceptMost {
+		if !n.batch() {
+			return
+		}
+	}
+}
+
+// acceptMost bounds the batches of AcceptAll, in case connections come as fast as they are accepted: more than the kernel's queue.
+const acceptMost = 256
+
+// batch accepts up to acceptBatch connections, and tells whether more may wait.
+func (n *Listener) batch() bool {
 	loop := n.sock.loop
 	for range acceptBatch {
 		if n.sock.fd < 0 {
-			return
+			return false
 		}
 		fd, err := loop.kernel.Accept(n.sock.fd)
 		last := errors.Is(err, ErrDescriptors)
@@ -89,9 +104,10 @@
 			loop.After(&n.retry, shortageRest)
 		}
 		if err != nil {
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // Addr is the address at which it listens.
--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -129,18 +129,9 @@
 	switch a.kind {
 	case acSend:
 		e.send(x, a)
-	case acRefuse:
+	case acRefuse, acFail:
 		if x != nil && !x.answered {
-			x.answered = true
-			e.count.Shed++
-			x.client.Shed(a.span)
-			e.release(x)
-		}
-	case acFail:
-		if x != nil && !x.answered {
-			x.answered = true
-			e.count.Failed++
-			x.client.Fail()
+			e.answer(x, a.kind == acRefuse, a.span)
 			e.release(x)
 		}
 	case acCancel:
@@ -205,6 +196,11 @@
 		e.push(event{kind: evEnded, x: x, attempt: x.hops - 1, outcome: balance.NoConnect, report: noReport})
 		return
 	}
+	if !x.mayHop(e.loop.Now(), to) {
+		x.hops++
+		e.push(event{kind: evEnded, x: x, attempt: x.hops - 1, outcome: balance.NotSent, report: noReport})
+		return
+	}
 	e.hop(x, to, a.span)
 }
 
--- a/internal/proxy/bed_test.go
+++ b/internal/proxy/bed_test.go
@@ -80,15 +80,16 @@
 	hops    []*end // connections to the targets, in order
 	servers []*poll.Listener
 	base    int
+	text    string // its settings
 }
 
 func newBed(t testing.TB, targets int, probes bool) *bed {
 	t.Helper()
-	b := &bed{t: t, world: vnet.New(1, nil), local: netip.MustParseAddrPort("10.0.0.1:0")}
+	b := &bed{t: t, world: vnet.New(1, nil), local: netip.MustParseAddrPort("10.0.0.1:0"), text: fmt.Sprintf(testSettings, probes)}
 	b.host = b.world.AddHost("bed", b.local.Addr(), vnet.Limits{})
 	err := b.host.Start(func(k poll.Kernel) (func() error, error) {
 		b.loop = poll.NewOn(k, func() {})
-		b.build(targets, probes)
+		b.build(targets)
 		return b.step, nil
 	})
 	if err != nil {
@@ -102,12 +103,18 @@
 // newRealBed is newBed on real sockets.
 func newRealBed(t testing.TB, targets int, probes bool) *bed {
 	t.Helper()
-	b := &bed{t: t, local: loopback()}
+	return newRealBedWith(t, targets, fmt.Sprintf(testSettings, probes))
+}
+
+// newRealBedWith is newRealBed with other settings.
+func newRealBedWith(t testing.TB, targets int, text string) *bed {
+	t.Helper()
+	b := &bed{t: t, local: loopback(), text: text}
 	var err error
 	if b.loop, err = poll.New(func() {}); err != nil {
 		t.Fatal(err)
 	}
-	b.build(targets, probes)
+	b.build(targets)
 	b.settle()
 	b.base = b.loop.Open()
 	t.Cleanup(func() {
@@ -129,7 +136,7 @@
 }
 
 // build makes the proxy and its targets.
-func (b *bed) build(targets int, probes bool) {
+func (b *bed) build(targets int) {
 	t, local := b.t, b.local
 	known := &routes.List{Whole: true}
 	for i := range targets {
@@ -144,7 +151,7 @@
 		b.servers = append(b.servers, l)
 		known.Hosts = append(known.Hosts, &routes.Target{ID: fmt.Sprint("s", i), Addr: l.Addr(), Site: "z"})
 	}
-	set, err := settings.Decode(fmt.Appendf(nil, testSettings, probes))
+	set, err := settings.Decode([]byte(b.text))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"ospreyspan/balance"
@@ -23,9 +24,11 @@
 )
 
 // drain is a planned stop: clients are asked to move, spread over the time that there is so that their return
-// is no surge for the others, and those who wait are answered.
+// is no surge for the others, and those who wait are answered. Then the doors are shut: what the machine has accepted is accepted
+// and answered, no other connection comes, and the program ends when the last one has ended or time is over.
 type drain struct {
 	on    bool
+	shut  bool // nothing is taken any more: a request is refused as soon as it is read
 	begin time.Time
 	kill  time.Time
 	timer poll.Timer
@@ -61,24 +64,65 @@
 		f.engine.Shutdown(drainAdvice)
 	}
 	f.moveSome(now)
-	if now.Sub(d.begin) > lateClients && f.idle() || now.After(d.kill.Add(-ends)) {
-		f.listener.Close()
+	if !d.shut && (now.Sub(d.begin) > lateClients && f.idle() || now.After(d.shutBy())) {
+		f.shut()
+	}
+	if d.shut && len(f.sessions) == 0 || now.After(d.kill.Add(-ends)) {
+		f.cutOff()
 		d.done()
 		return
 	}
 	f.loop.After(&d.timer, drainStep)
 }
 
-// idle tells whether nobody is left but connections that have asked for nothing.
+// shutBy is when nothing is taken any more, whoever still waits: with the last answers, but where clients' waits are short not
+// while new connections may still come.
+func (d *drain) shutBy() time.Time {
+	by := d.kill.Add(-answersDone)
+	if late := d.begin.Add(lateClients); by.Before(late) {
+		by = late
+	}
+	if most := d.kill.Add(-ends - 2*drainStep); by.After(most) {
+		by = most
+	}
+	return by
+}
+
+// idle tells whether nobody waits or stands.
 func (f *Lines) idle() bool {
 	for _, s := range f.sessions {
-		if s.state != opening {
+		if s.state == waiting || s.state == standing {
 			return false
 		}
 	}
 	return true
 }
 
+// shut takes what waits to be accepted, closes the listener and ends the connections that have not asked for anything. A request
+// counts as taken once its last byte is written to a connection that the machine has accepted: each one that is there is read
+// and refused, and one that is still on its way finds its refusal.
+func (f *Lines) shut() {
+	f.drain.shut = true
+	f.listener.AcceptAll()
+	f.listener.Close()
+	for _, s := range slices.Clone(f.sessions) { // those that end leave the table
+		if s.state == opening {
+			s.read()
+		}
+		if s.state == opening {
+			s.last(busy(drainAdvice))
+		}
+	}
+}
+
+// cutOff closes what is left when time is over. What has arrived is read first, so that no last line is lost to a reset.
+func (f *Lines) cutOff() {
+	for _, s := range slices.Clone(f.sessions) {
+		s.link.skim(f.scratch, spillMost)
+		s.close()
+	}
+}
+
 // moveSome moves as many standing connections as keeps their number falling evenly. While new clients may still
 // come nobody is moved: who was sent away then would come back here, and be moved again.
 func (f *Lines) moveSome(now time.Time) {
--- /dev/null
+++ b/internal/proxy/effect.go
@@ -0,0 +1,114 @@
+package proxy
+
+import (
+	"time"
+
+	"ospreyspan/balance"
+	"ospreyspan/internal/routes"
+)
+
+// What a request may have done at an egress target decides what is still allowed: another hop, a refusal, which invites
+// the client to repeat it, or nothing but a failure. The module decides by the same rules, but in advance: its hop is written
+// when the connection is up, and the engine answers in its place where time is over. Both ask here at the last moment.
+
+// permits tells what the rules leave for a request of a class. ran: a hop of it may have run, or is out and may yet; since:
+// the time from the first such hop's first byte to the act in question; near: the target in question drops the repeats of that
+// hop's, by the class's scope.
+func permits(c balance.Class, ran bool, since time.Duration, near bool) (hop, shed bool) {
+	switch {
+	case !ran || c.Repeat == balance.RepeatFree:
+		return true, true
+	case c.Repeat == balance.RepeatKeyed && since < c.Window:
+		return near, c.Scope == balance.ScopeAll // a client that is sent away comes to any target
+	}
+	return false, false
+}
+
+// near tells whether a target drops the repeats of what ran at another one.
+func near(s balance.Scope, ran, to *routes.Target) bool {
+	return s == balance.ScopeAll || s == balance.ScopeZone && ran.Site == to.Site || s == balance.ScopeCell && ran.Block == to.Block
+}
+
+// class is what is known of the exchange's class.
+func (x *Exchange) class() balance.Class { return x.engine.set.Config.Classes[x.request.Class] }
+
+// mayHop tells whether a further hop to a target may be written at a time.
+func (x *Exchange) mayHop(now time.Time, to *routes.Target) bool {
+	if x.ran == nil {
+		return true
+	}
+	c := x.class()
+	hop, _ := permits(c, true, now.Sub(x.ranAt), near(c.Scope, x.ran, to))
+	return hop
+}
+
+// mayShed tells whether the client may be refused now and come again after a while. A hop that is out counts as one that may
+// have run once any of it was written; see Client.Recall for one that was not.
+func (x *Exchange) mayShed(after time.Duration) bool {
+	since := x.ranAt
+	if x.ran == nil {
+		if !x.out || x.sentAt.IsZero() {
+			return true
+		}
+		since = x.sentAt
+	}
+	_, shed := permits(x.class(), true, x.engine.loop.Now().Add(after).Sub(since), false)
+	return shed
+}
+
+// Sending is called just before the first byte of a hop is written, and tells whether it may be: the client may have left, the
+// window of the class be over or the target have stopped since the hop began. If not, the hop is to end as balance.NotSent.
+func (x *Exchange) Sending() bool {
+	now := x.engine.loop.Refresh()
+	if x.answered {
+		return false
+	}
+	if x.adopt == "" {
+		to := x.engine.table.Find(x.target.ID)
+		if to == nil || states[to.Health] != balance.Ready || !x.mayHop(now, x.target) {
+			return false
+		}
+	}
+	x.sentAt = now
+	return true
+}
+
+// answer gives an exchange without a hop its final answer. A refusal that the rules don't leave is a failure: this is the one
+// place where that is decided for the module's answers and the engine's own.
+func (e *Engine) answer(x *Exchange, refuse bool, after time.Duration) {
+	x.answered = true
+	if refuse && x.mayShed(after) {
+		e.count.Shed++
+		x.client.Shed(after)
+	} else {
+		e.count.Failed++
+		x.client.Fail()
+	}
+}
+
+// cutShort answers an exchange in the module's place, whatever is out for it. A hop of which the target can't have the whole
+// request never ran; any other may have.
+func (e *Engine) cutShort(x *Exchange, after time.Duration) {
+	if x.answered {
+		return
+	}
+	var o balance.Outcome
+	hop := x.out
+	if hop {
+		if o = balance.NotSent; x.client.Recall() {
+			x.sentAt = time.Time{}
+		} else {
+			o = balance.Cancelled
+			x.client.Drop()
+		}
+	}
+	e.answer(x, true, after)
+	if x.adopt == "" {
+		e.push(event{kind: evLeft, x: x})
+	}
+	if hop {
+		x.Ended(o, noReport)
+	} else {
+		e.leaving = append(e.leaving, x)
+	}
+}
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -97,11 +97,21 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	e.module = module
-	e.watch = routes.NewWatch(c.Loop, c.Discovery, c.Known.Seq, routes.AskEvery(c.Settings.Config.Balancers, c.Settings.Config.Rules.AskWithin),
-		rand.New(rand.NewPCG(c.Seed, 1)), &c.Count.Watches, e.news)
+	from, every, pushed := c.Known.Seq, routes.AskEvery(c.Settings.Config.Balancers, c.Settings.Config.Rules.AskWithin), !c.Settings.Config.Subscribe
+	if len(c.Known.Hosts) == 0 {
+		from = routes.FromNothing // nobody can be served until a list is there
+	}
+	if pushed {
+		every = 0
+	}
+	e.watch = routes.NewWatch(c.Loop, c.Discovery, from, every, rand.New(rand.NewPCG(c.Seed, 1)), &c.Count.Watches, e.news)
+	e.watch.SetPushed(pushed)
 	module.Start(e.loop.Now())
 	e.table.Merge(c.Known)
 	e.push(event{kind: evList, list: balance.ListStale, entries: backends(c.Known.Hosts)})
+	if pushed && c.Discovery.IsValid() {
+		e.watch.Start() // the module asks for a watch only where nothing comes without one; here all counts as told from the start
+	}
 	return e, nil
 }
 
@@ -235,8 +245,7 @@
 	}
 	e.count.Overdue++
 	e.log.Printf("exchange %d: no answer from the module in time", x.id)
-	x.client.Shed(e.set.Config.MaxAdvice)
-	x.Left()
+	e.cutShort(x, e.set.Config.MaxAdvice)
 }
 
 // inOrder returns all exchanges, the first one first: what is done to many must not depend on the order of a map.
@@ -247,11 +256,7 @@
 // Shutdown gives every exchange that has no answer yet its final one.
 func (e *Engine) Shutdown(after time.Duration) {
 	for _, x := range e.inOrder() {
-		if !x.answered {
-			e.count.Shed++
-			x.client.Shed(after)
-			x.Left()
-		}
+		e.cutShort(x, after)
 	}
 }
 
@@ -272,9 +277,7 @@
 		return
 	}
 	if left := x.deadline.Sub(e.loop.Now()); !o.NeverRan() || left < 2*adoptRest {
-		x.answered = true
-		e.count.Failed++
-		x.client.Fail()
+		e.answer(x, false, 0)
 		e.release(x)
 		return
 	}
@@ -288,7 +291,7 @@
 }
 
 func (e *Engine) hop(x *Exchange, to *routes.Target, wait time.Duration) {
-	x.target, x.out = to, true
+	x.target, x.out, x.sentAt = to, true, time.Time{}
 	x.hops++
 	e.count.Hops++
 	if e.onHop != nil && x.adopt == "" {
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -15,7 +15,7 @@
 type Client interface {
 	// Hop passes the request on to an egress target and waits that long for its word.
 	Hop(to *routes.Target, wait time.Duration)
-	// Recall gives the hop up if nothing of the request has been written yet, and tells whether it did.
+	// Recall gives the hop up if the target can't have the whole request yet, and tells whether it did.
 	Recall() bool
 	// Drop gives the hop up.
 	Drop()
@@ -59,6 +59,9 @@
 	adopt    string // the egress target that holds the connection since before the start; not the module's to place
 	deadline time.Time
 	timer    poll.Timer
+	sentAt   time.Time      // when the first byte of the last hop was written; zero: none was
+	ran      *routes.Target // where the first hop went that may have run; nil: none may have
+	ranAt    time.Time      // when the first byte of that one was written
 }
 
 // Up tells that the hop's connection stands. It returns false if the client is not there any more.
@@ -91,6 +94,9 @@
 		return
 	}
 	x.out = false
+	if !x.standing && x.ran == nil && !o.NeverRan() && !x.sentAt.IsZero() {
+		x.ran, x.ranAt = x.target, x.sentAt
+	}
 	x.engine.countEnd(o)
 	if x.standing {
 		x.engine.saw(x.target.ID, o, OfStanding)
@@ -108,7 +114,8 @@
 	}
 }
 
-// Left tells that the client left before it had its answer.
+// Left tells that the client left before it had its answer. A hop of which the target can't have the whole request is given up
+// at once, which needs no permission; the module decides on any other.
 func (x *Exchange) Left() {
 	if x.answered {
 		return
@@ -121,8 +128,11 @@
 		x.client.Drop()
 		x.out = false
 	}
-	if !x.out {
+	switch {
+	case !x.out:
 		x.engine.leaving = append(x.engine.leaving, x)
+	case x.client.Recall():
+		x.Ended(balance.NotSent, noReport)
 	}
 }
 
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -101,10 +101,21 @@
 	}
 }
 
-// send passes the client's first line on.
+// send passes the client's first line on. What arrived from the client while the connection came up is read first: one that
+// has left, or was no client of the protocol, is not sent on, in whatever order the kernel tells of the two.
 func (h *hop) send() {
 	f := h.s.front
-	left := h.until.Sub(f.loop.Now())
+	if h.s.state == waiting {
+		h.s.read()
+	}
+	if h.state == hopEnded {
+		return
+	}
+	left := h.until.Sub(f.loop.Refresh())
+	if left < time.Millisecond || !h.s.x.Sending() {
+		h.over(balance.NotSent, noReport)
+		return
+	}
 	f.line = h.s.open.Append(f.line[:0], left)
 	if err := h.link.write(f.line); err != nil {
 		h.over(balance.NoConnect, noReport)
@@ -129,6 +140,7 @@
 		}
 	case errors.Is(err, line.ErrTooLong):
 		h.peer.complain("line over 4096 bytes", nil)
+		h.link.ended = true // what follows is the rest of that line: nothing of it is passed on
 		if h.state == hopStanding {
 			h.s.abandon(balance.Broken)
 		} else {
@@ -143,6 +155,10 @@
 
 // answer takes the target's first word on the request.
 func (h *hop) answer(lines []byte) {
+	if h.s.state != waiting { // the client has left, or has an answer that the target does not know of
+		h.over(balance.Cancelled, noReport)
+		return
+	}
 	first, more := line.Next(lines)
 	text := line.Text(first)
 	word, rest := line.ParseWord(text)
@@ -161,6 +177,11 @@
 	case line.Move:
 		h.over(balance.Cancelled, noReport)
 	case line.Busy:
+		if len(more)+len(h.link.rest) > 0 { // it says something else as well: no proof that it never ran
+			h.peer.complain("more than a refusal", more)
+			h.over(balance.Error, noReport)
+			return
+		}
 		h.over(balance.Full, h.report(rest))
 	default:
 		if word != line.Err {
@@ -201,7 +222,9 @@
 	case hopDialing, hopSending:
 		h.over(balance.NoConnect, noReport)
 	case hopAsking:
-		h.over(balance.TimedOut, noReport)
+		if h.read(); h.state == hopAsking { // its word may lie there: a turn takes so many events and no more
+			h.over(balance.TimedOut, noReport)
+		}
 	case hopStanding:
 		h.quiet()
 	}
@@ -216,8 +239,15 @@
 		h.over(balance.Broken, noReport)
 	case hopStanding: // the client's side ends the same way
 		s := h.s
+		if h.gather(); h.state != hopStanding {
+			return
+		}
 		s.endHop()
 		s.x.Ended(h.ending(balance.Broken), noReport)
+		if h.said { // its last word must not be overtaken
+			s.last(nil)
+			return
+		}
 		s.link.reset()
 		s.close()
 	}
--- a/internal/proxy/lines.go
+++ b/internal/proxy/lines.go
@@ -128,15 +128,17 @@
 	f.sessions = f.sessions[:last]
 }
 
-// turnAway answers a client for which there is no descriptor. Its line is read first where it is there already:
-// a connection that is closed with unread bytes is reset, and the answer may be lost with that.
+// turnAway ends a connection to which nothing but a refusal is owed, for want of a descriptor. What has arrived is read first: a
+// connection that is closed with unread bytes is reset, and the answer may be lost with that.
 func (f *Lines) turnAway(s *session) {
 	if s.state == opening {
 		if f.count.Full++; f.count.Full == 1 {
 			f.log.Printf("out of descriptors: %d open of %d", f.loop.Open(), f.sockets)
 		}
-		_, _ = s.link.sock.Read(f.scratch[:openingRead])
+		s.link.skim(f.scratch, spillMost)
 		_ = s.link.write(busy(fullAdvice))
+	} else {
+		s.link.skim(f.scratch, spillMost) // its last line may still be on its way
 	}
 	s.close()
 }
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -91,6 +91,17 @@
 	l.want()
 }
 
+// skim reads and drops what has arrived, up to so many bytes: a connection that is closed over unread bytes is reset.
+func (l *link) skim(scratch []byte, most int) {
+	for most > 0 && l.sock != nil && !l.ended {
+		n, err := l.sock.Read(scratch)
+		if err != nil {
+			return
+		}
+		most -= n
+	}
+}
+
 func (l *link) behind() bool { return len(l.out) > backlog }
 
 func (l *link) close() {
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -79,6 +79,11 @@
 	case probeNone:
 		p.dial()
 	case probeIdle:
+		if len(p.link.rest) > 0 { // half a line that came meanwhile would pass for the beginning of the answer
+			p.hangUp()
+			p.dial()
+			return
+		}
 		p.ask()
 	}
 	// Otherwise a probe is out, and its answer serves for this one: the module asks once at a time.
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -32,6 +32,7 @@
 	hop   *hop
 	timer poll.Timer
 	gone  bool          // standing: the client has ended its sending
+	left  bool          // it left while it waited: its hop, if one is out, ends by its target's or the module's word
 	asked int           // lines before the one that opens
 	spilt int           // closing: bytes that were read and dropped
 	pos   int           // index in the front's table
@@ -144,6 +145,11 @@
 		s.malformed(err.Error())
 		return
 	}
+	if f.drain.shut {
+		f.count.Shed++
+		s.last(busy(drainAdvice))
+		return
+	}
 	// The client's time runs since it sent the line, which may have waited for this turn of the loop.
 	offer := Offer{
 		ID: open.ID, Class: open.Class, Tenant: open.Tenant, Key: open.Key, Group: open.Group, Again: open.Again,
@@ -187,7 +193,7 @@
 	case opening:
 		s.last(failLine)
 	case waiting:
-		s.x.Left()
+		s.leave()
 		s.last(failLine)
 	case standing:
 		s.abandon(balance.Cancelled)
@@ -196,6 +202,12 @@
 	}
 }
 
+// leave takes down that nothing is owed to the client any more: it left before its answer, or broke the protocol.
+func (s *session) leave() {
+	s.left = true
+	s.x.Left()
+}
+
 // ended deals with a client that ended its sending.
 func (s *session) ended() {
 	switch s.state {
@@ -206,8 +218,13 @@
 	case opening:
 		s.close()
 	case waiting:
-		s.x.Left()
-		s.closeUnlessHop()
+		// A client that has only ended its sending still reads: it gets a final answer like any other.
+		s.leave()
+		if s.x.mayShed(0) {
+			s.last(busy(0))
+		} else {
+			s.last(failLine)
+		}
 	case standing:
 		s.gone = true
 		s.hop.link.finish()
@@ -219,8 +236,8 @@
 func (s *session) broke() {
 	switch s.state {
 	case waiting:
-		s.x.Left()
-		s.closeUnlessHop()
+		s.leave()
+		s.close()
 	case standing:
 		o := s.hop.ending(balance.Cancelled)
 		if !s.gone { // else its side has ended already, and not by a reset
@@ -234,14 +251,6 @@
 	}
 }
 
-// closeUnlessHop closes the connection of a client that left. Its hop, if one is out, ends by the module's word.
-func (s *session) closeUnlessHop() {
-	hop := s.hop
-	s.hop = nil
-	s.close()
-	s.hop = hop
-}
-
 // due is called by the timer.
 func (s *session) due() {
 	switch s.state {
@@ -282,6 +291,9 @@
 
 // abandon ends a standing connection politely on both sides.
 func (s *session) abandon(o balance.Outcome) {
+	if s.hop.gather(); s.state != standing {
+		return
+	}
 	s.endHop()
 	s.x.Ended(o, noReport)
 	s.last(moveLine)
@@ -303,7 +315,9 @@
 	s.state = closed
 	s.front.loop.Disarm(&s.timer)
 	s.front.keep(s)
-	s.endHop()
+	if !s.left {
+		s.endHop()
+	}
 	s.link.close()
 	s.front.forget(s)
 }
@@ -313,9 +327,9 @@
 // Hop starts a hop.
 func (s *session) Hop(to *routes.Target, wait time.Duration) { s.startHop(to, wait) }
 
-// Recall gives up a hop of which nothing is written yet.
+// Recall gives up a hop of which the target can't have the whole line: a part of one is no request.
 func (s *session) Recall() bool {
-	if s.hop == nil || s.hop.state != hopDialing {
+	if s.hop == nil || s.hop.state != hopDialing && s.hop.state != hopSending {
 		return false
 	}
 	s.endHop()
@@ -337,8 +351,11 @@
 	s.last(failLine)
 }
 
-// Move sends the client away between two lines. What its target sent so far is written or kept for it.
+// Move sends the client away between two lines. The whole lines that its target sent so far are written or kept for it.
 func (s *session) Move() {
+	if s.hop.gather(); s.state != standing {
+		return
+	}
 	s.endHop()
 	s.last(moveLine)
 }
--- a/internal/proxy/standing.go
+++ b/internal/proxy/standing.go
@@ -72,6 +72,24 @@
 	}
 }
 
+// gatherMost is how often a target is read before its side is closed: what is kept for the client stays bounded.
+const gatherMost = 4
+
+// gather passes on the whole lines that have arrived from the target, before its side is closed: left in the kernel they would
+// be lost to the client. What it tells of an end is left to the caller.
+func (h *hop) gather() {
+	for range gatherMost {
+		if h.link.sock == nil || h.link.ended {
+			return
+		}
+		lines, err := h.link.fill(h.s.front.scratch)
+		if err != nil || len(lines) == 0 {
+			return
+		}
+		h.pass(lines)
+	}
+}
+
 // answered measures how long the target took for the client's line.
 func (h *hop) answered() {
 	if h.asked.IsZero() {
