The emulator's judge learns effects, departed clients and pushed lists; five planted faults more

Need: the judge knew nothing of what may be repeated, of clients that leave while they wait, of lists that are pushed: the faults that mended by reading would have passed it. Now classes have effects, settings may forbid to cancel and to probe, connections come up late, clients leave, and fuzz draws all that. Rules effect-twice, repeat-invited, sent-after-leaving: told from the wire alone.

By reading: PING was answered PONG although no target was known (session.first): NO until discovery's first list; without it TestPingBeforeTheFirstList gets PONG twice. Refuted by a test: a stop while connections of before the start are taken up.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -37,6 +37,7 @@
 	clients  []*client
 	next     poll.Timer
 	stopped  bool
+	leaving  float64 // see Leaving
 	arrivals int
 	scratch  []byte
 }
@@ -105,6 +106,13 @@
 	w.loop.Disarm(&w.next)
 }
 
+// Leaving has a part of the clients leave while they wait for their answer, 0 to 1: soon, as somebody who changed his mind. They
+// come again like others that got none.
+func (w *Crowd) Leaving(part float64) { w.leaving = part }
+
+// leaveMost is when such a client is gone at the latest.
+const leaveMost = 400 * time.Millisecond
+
 // Finish takes all that clients still want into the ledger, and lets them go.
 func (w *Crowd) Finish() {
 	w.Stop()
@@ -149,6 +157,7 @@
 	conns    int
 	fails    int
 	asked    time.Time // its first line
+	leaves   bool      // it leaves before its answer, by the timer
 	up       time.Time // that its connection stands since
 	interval time.Time // its last line
 	good     bool      // that was answered in time
@@ -211,6 +220,16 @@
 	c.w.loop.After(&c.timer, wait)
 }
 
+// refail has a client come again whose request failed, if its effect may be repeated.
+func (c *client) refail() {
+	if c.w.c.Classes[c.class].Once {
+		c.settle()
+		c.done()
+		return
+	}
+	c.retry(0)
+}
+
 // comeBack has a client come again whose connection was moved or broke.
 func (c *client) comeBack() {
 	c.stand()
@@ -270,8 +289,16 @@
 		w.ledger.Count.Unmade++
 		c.retry(0)
 	case clientAsking:
-		w.ledger.Count.Silent++
-		c.retry(0)
+		switch {
+		case c.leaves && c.draw() < 0.5:
+			c.sock.Reset()
+			c.retry(0)
+		case c.leaves:
+			c.retry(0)
+		default:
+			w.ledger.Count.Silent++
+			c.refail()
+		}
 	case clientUp:
 		if left := c.life - now.Sub(c.up); left <= 0 {
 			c.finish()
@@ -374,6 +401,10 @@
 	w.ledger.Count.Requests++
 	c.state, c.asked, c.moved = clientAsking, w.loop.Now(), false
 	c.sock.Want(true, false)
+	if c.leaves = w.leaving > 0 && c.draw() < w.leaving; c.leaves {
+		w.loop.After(&c.timer, time.Duration(c.draw()*float64(min(leaveMost, class.GiveUp))))
+		return
+	}
 	w.loop.After(&c.timer, class.GiveUp+patience)
 }
 
@@ -394,7 +425,7 @@
 			c.retry(time.Duration(ms) * time.Millisecond)
 		default:
 			w.ledger.Count.Failed++
-			c.retry(0)
+			c.refail()
 		}
 		return
 	}
@@ -424,7 +455,7 @@
 	switch c.state {
 	case clientAsking:
 		c.w.ledger.Count.Lost++
-		c.retry(0)
+		c.refail()
 	case clientUp:
 		c.w.ledger.Count.Cut++
 		c.comeBack()
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -37,6 +37,7 @@
 	Sigma   float64       // of a connection's load, lognormal
 	Swing   float64       // of its changes, lognormal
 	Change  Spans         // between these
+	Once    bool          // a client whose request may have run does not come again
 }
 
 // Kind is a kind of relay.
--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// HealthOf is the health of an entry; ok tells that there is one.
+func (g *Registry) HealthOf(host string) (health string, ok bool) {
+	v := g.entries[host]
+	if v == nil {
+		return "", false
+	}
+	return v.Health, true
+}
+
 // list is an answer: the entries that are newer than a version, or all if that is below 0 or from another time.
 func (g *Registry) list(after int64) (entries []Entry, whole bool) {
 	whole = after < 0 || after > g.seq
@@ -145,6 +154,9 @@
 // Hang has it send half of each answer and then nothing, or go on as usual.
 func (d *Discovery) Hang(on bool) { d.hang = on }
 
+// Hangs tells whether it does the former.
+func (d *Discovery) Hangs() bool { return d.hang }
+
 // Stop ends it: its connections are reset.
 func (d *Discovery) Stop() {
 	d.listener.Close()
--- a/internal/lab/fuzz.go
+++ b/internal/lab/fuzz.go
@@ -65,7 +65,7 @@
 	r := stream(seed, "fuzz")
 	s := defaults()
 	span := func(from, to time.Duration) fleet.Spans {
-		d := fleet.Spans{From: from, To: to}.Draw(r).Round(time.Millisecond)
+		d := max(fleet.Spans{From: from, To: to}.Draw(r).Round(time.Millisecond), time.Millisecond) // a file leaves out what is nothing
 		return fleet.Spans{From: d, To: d}
 	}
 	one := func(from, to float64) fleet.Range {
@@ -96,6 +96,7 @@
 	kinds := []string{
 		"silence", "slow", "neighbour", "costly", "drain", "lose", "grow", "proxy-restart", "proxy-kill", "partition", "isolate",
 		"stall", "late-clock", "descriptors", "ports", "rude", "discovery-down", "discovery-hang", "discovery-late",
+		"late-connects", "leaving",
 	}
 	for i := range 1 + r.IntN(6) {
 		t := Trouble{Name: fmt.Sprintf("t%d", i), Kind: kinds[r.IntN(len(kinds))]}
@@ -104,9 +105,35 @@
 		s.fill(&t, r, one, span)
 		s.Troubles = append(s.Troubles, t)
 	}
+	s.customer(r, span)
 	return &s
 }
 
+// customer draws what another customer's settings may say: effects that must not come twice, and what is permitted.
+func (s *Scenario) customer(r *rand.Rand, span func(from, to time.Duration) fleet.Spans) {
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		switch r.IntN(4) {
+		case 0:
+			c.Effect = "single_shot"
+		case 1:
+			c.Effect, c.Scope, c.Window = "guarded", []string{"all", "zone", "cell"}[r.IntN(3)], span(100*time.Millisecond, 1500*time.Millisecond).From
+		}
+		if r.IntN(4) == 0 {
+			c.GiveUp = span(c.SetUp, c.GiveUp).From
+		}
+	}
+	s.Allow.Cancel, s.Allow.Probes, s.Allow.Pushed = r.IntN(3) > 0, r.IntN(6) > 0, r.IntN(4) == 0
+	if r.IntN(3) == 0 { // connections that take long to come up, and are waited for
+		s.Allow.Dial = span(300*time.Millisecond, 1200*time.Millisecond).From
+		part := round(fleet.Range{From: 0.2, To: 0.8}.Draw(r))
+		s.Troubles = append(s.Troubles, Trouble{
+			Name: "late", Kind: "late-connects", For: fleet.Spans{From: s.Run.Length, To: s.Run.Length},
+			Size: fleet.Range{From: part, To: part}, Away: span(200*time.Millisecond, 1200*time.Millisecond),
+		})
+	}
+}
+
 // fill gives a trouble the figures that its kind needs.
 func (s *Scenario) fill(t *Trouble, r *rand.Rand, one func(from, to float64) fleet.Range, span func(from, to time.Duration) fleet.Spans) {
 	second := time.Second
@@ -141,6 +168,10 @@
 		t.Size = one(5, 200)
 	case "discovery-late":
 		t.Away = span(second, 4*second)
+	case "late-connects":
+		t.Size, t.Away = one(0.1, 1), span(100*time.Millisecond, 1500*time.Millisecond)
+	case "leaving":
+		t.Size = one(0.05, 0.6)
 	}
 }
 
--- a/internal/lab/planted_test.go
+++ b/internal/lab/planted_test.go
@@ -41,6 +41,31 @@
 		"	delete(e.ids, x.name)\n", "",
 		[]string{"given-back"},
 	},
+	{
+		"the end of a client that waits is passed over", "internal/proxy/session.go",
+		"		s.leave()\n		if s.x.mayShed(0) {\n", "		return\n		if s.x.mayShed(0) {\n",
+		[]string{"sent-after-leaving"},
+	},
+	{
+		"an error passes for a refusal", "internal/proxy/hop.go",
+		"		h.over(balance.Error, h.report(rest))\n	}\n}\n", "		h.over(balance.Full, h.report(rest))\n	}\n}\n",
+		[]string{"effect-twice", "repeat-invited"},
+	},
+	{
+		"the window is looked at when a hop begins, and not when it is written", "internal/proxy/effect.go",
+		" || !x.mayHop(now, x.target) {", " {",
+		[]string{"effect-twice"},
+	},
+	{
+		"who waits at a planned stop is refused, whatever may have run", "internal/proxy/effect.go",
+		"	if refuse && x.mayShed(after) {", "	if refuse {",
+		[]string{"repeat-invited"},
+	},
+	{
+		"nobody asks for lists that are pushed", "internal/proxy/engine.go",
+		"		e.watch.Start() // the module", "		// the module",
+		[]string{"drain-grace"},
+	},
 }
 
 // Each planted fault is found by fuzzing within 200 seeds, and the scenario that finds it is made smaller.
--- a/internal/lab/real.go
+++ b/internal/lab/real.go
@@ -31,6 +31,7 @@
 var notReal = map[string]string{
 	"partition": "loopback can't be cut", "isolate": "loopback can't be cut", "late-clock": "the clock is everybody's",
 	"descriptors": "the limit is the process's own", "ports": "the ports are everybody's",
+	"late-connects": "loopback's connections come up at once",
 }
 
 // PlayReal plays a day on real loopback sockets against the program, in real time: the same fleet, the same draws, but no
--- a/internal/lab/troubles.go
+++ b/internal/lab/troubles.go
@@ -111,6 +111,7 @@
 		for _, p := range s.someProxies(t, r) {
 			s.during(at, span, func() {
 				p.virtual().ClockLag(away)
+				s.judge.lag[p.virtual()] = max(s.judge.lag[p.virtual()], away)
 				if away > s.s.Proxies.AnswerMargin/2 {
 					s.excuse(p, span+away)
 				}
@@ -118,7 +119,11 @@
 		}
 	case "descriptors":
 		for _, p := range s.someProxies(t, r) {
-			s.during(at, span, func() { p.virtual().SetDescriptors(p.virtual().Open() + int(size)) },
+			s.during(at, span, func() {
+				if p.running() { // what a process holds that is not there says nothing of what the next one needs
+					p.virtual().SetDescriptors(p.virtual().Open() + int(size))
+				}
+			},
 				func() { p.virtual().SetDescriptors(s.s.Proxies.Sockets) })
 		}
 	case "ports":
@@ -127,10 +132,25 @@
 		}
 	case "rude":
 		s.badClients(t, at, span, size)
+	case "late-connects": // a part of the connections to them, size, come up late, by up to away
+		for _, n := range s.someRelays(t, r) {
+			s.during(at, span, func() { n.host.(*vnet.Host).LateConnects(size, away) }, func() { n.host.(*vnet.Host).LateConnects(0, 0) })
+		}
+	case "leaving":
+		for _, c := range s.crowds {
+			s.during(at, span, func() { c.crowd.Leaving(size) }, func() { c.crowd.Leaving(0) })
+		}
 	case "discovery-down":
-		s.during(at, span, s.discovery.host.Kill, func() { s.failed(s.startDiscovery()) })
+		s.during(at, span, s.discovery.host.Kill, func() {
+			s.failed(s.startDiscovery())
+			s.agents(0)
+		})
 	case "discovery-hang":
-		s.during(at, span, func() { s.discovery.d.Hang(true) }, func() { s.discovery.d.Hang(false) })
+		s.during(at, span, func() { s.discovery.d.Hang(true) }, func() {
+			s.discovery.d.Hang(false)
+			s.silent = s.now().Add(silentFor)
+			s.agents(silentFor)
+		})
 	case "discovery-late":
 		s.during(at, span, func() { s.late = away }, func() { s.late = 0 })
 	}
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -124,6 +124,10 @@
 	e.watch.Point(at)
 }
 
+// CanServe tells whether there has been a list: a process that has just started and knows of no target would refuse whoever is
+// sent to it, while another one could serve. It stays true for an empty list, which is discovery's own word.
+func (e *Engine) CanServe() bool { return !e.table.Empty() || !e.heardAt.IsZero() }
+
 // Pending tells whether events wait for Deliver: the loop must not sleep then.
 func (e *Engine) Pending() bool { return len(e.events) > 0 || len(e.actions) > 0 }
 
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -121,6 +121,7 @@
 		return
 	}
 	x.answered = true
+	x.engine.loop.Disarm(&x.timer) // where cancelling is not permitted its hop may stay out for long
 	x.engine.count.Left++
 	if x.adopt == "" {
 		x.engine.push(event{kind: evLeft, x: x})
--- a/internal/proxy/races_test.go
+++ b/internal/proxy/races_test.go
@@ -117,6 +117,11 @@
 				c.sock.Reset()
 			}
 			b.until("it left", func() bool { return b.count.Left == 1 && (c.eof || c.reset) })
+			for _, x := range b.engine.exchanges { // its hop is out, and nothing more is owed
+				if x.timer.Armed() {
+					t.Errorf("%s: the exchange still has a timer", how)
+				}
+			}
 			if word == "" {
 				b.hops[0].sock.Reset()
 			} else {
@@ -409,3 +414,63 @@
 		b.until("all ended", func() bool { return len(b.front.sessions) == 0 && len(b.engine.exchanges) == 0 })
 	}
 }
+
+// A process that knows of no target says so to the front's PING until discovery's first list is there, also where that is empty; one
+// that was given a list serves at once.
+func TestPingBeforeTheFirstList(t *testing.T) {
+	for name, list := range map[string]string{
+		"a list":       `{"seq":8,"whole":true,"hosts":[{"host":"s0","dial":"127.0.0.1:1","health":"SERVING"}]}`,
+		"an empty one": `{"seq":8,"whole":true,"hosts":[]}`,
+	} {
+		b := newRealBed(t, 0, false)
+		d := newDiscovery(b)
+		b.watchAt(d.l.Addr())
+		c := b.client()
+		c.say(t, "PING\r\n")
+		b.until("an answer", func() bool { return len(c.got) > 0 })
+		d.asked(0)
+		d.answer(0, list)
+		c.say(t, "PING\r\n")
+		b.until("another", func() bool { return strings.Count(string(c.got), "\n") == 2 })
+		if string(c.got) != "NO\r\nPONG\r\n" {
+			t.Errorf("%s: got %q", name, c.got)
+		}
+		b.engine.watch.Stop()
+		d.close()
+	}
+	b := newRealBed(t, 1, false)
+	c := b.client()
+	c.say(t, "PING\r\n")
+	b.until("an answer", func() bool { return string(c.got) == "PONG\r\n" })
+}
+
+// A planned stop comes while a connection of before the start is still being taken up: between two tries, while a hop connects, and
+// while its target is silent. It has one answer, and nothing is sent after that.
+func TestStopWhileAdopting(t *testing.T) {
+	for _, when := range []string{"between tries", "dialling", "asking"} {
+		b := newRealBed(t, 1, false)
+		c := b.client()
+		c.say(t, "OPEN a k c=c,d=5000,at=s0\r\n")
+		b.dialled(1)
+		if when != "dialling" {
+			b.until("the hop", func() bool { return b.asked("a") != nil })
+		}
+		if when == "between tries" {
+			b.asked("a").say(t, "BUSY\r\n")
+			b.until("the end of the hop", func() bool { return b.count.HopFull == 1 })
+		}
+		done := false
+		b.front.Drain(func() { done = true })
+		b.front.drain.kill = b.loop.Now().Add(answersDone - time.Millisecond)
+		b.front.drainStep()
+		b.until("an answer", func() bool { return c.eof })
+		if string(c.got) != "BUSY 1000\r\n" || b.count.Hops != 1 || len(b.engine.exchanges) != 0 {
+			t.Errorf("%s: got %q, %d hops, %d exchanges", when, c.got, b.count.Hops, len(b.engine.exchanges))
+		}
+		if when == "dialling" && len(b.hops) > 0 && len(b.hops[0].got) > 0 {
+			t.Errorf("sent %q", b.hops[0].got)
+		}
+		c.sock.Close()
+		b.until("the end", func() bool { return done })
+	}
+}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -129,10 +129,10 @@
 		switch s.asked++; {
 		case s.asked > openingLines:
 			s.malformed("too many lines before its request")
-		case ping:
+		case ping && f.engine.CanServe():
 			f.count.Pings++
 			s.say(pongLine)
-		default: // a proxy is no target of probes
+		default: // it can't serve yet; a proxy is no target of probes
 			s.say(noLine)
 		}
 		return
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -104,6 +104,9 @@
 // Find returns an egress target by its id, nil if the table does not name it.
 func (t *Table) Find(id string) *Target { return t.byID[id] }
 
+// Empty tells whether the table names no target.
+func (t *Table) Empty() bool { return len(t.byID) == 0 }
+
 // IDs returns the ids of all targets, in order.
 func (t *Table) IDs() []string { return slices.Sorted(maps.Keys(t.byID)) }
 
--- a/internal/vnet/host.go
+++ b/internal/vnet/host.go
@@ -42,6 +42,8 @@
 	disks     map[string]*Disk
 	diskOrder []*Disk
 	stallSend time.Duration // its next datagram waits for so long, and the process with it
+	latePart  float64       // see LateConnects
+	lateMost  time.Duration
 
 	limits Limits
 }
--- a/internal/vnet/tcp.go
+++ b/internal/vnet/tcp.go
@@ -27,6 +27,8 @@
 	Ended(c *Conn, from *Host)
 	// Arrived tells that bytes have reached the other machine.
 	Arrived(c *Conn, at *Host, data []byte)
+	// EndArrived tells that an end of the sending, or a reset, has.
+	EndArrived(c *Conn, at *Host)
 }
 
 // SetTap has a tap see all connections; nil: none does.
@@ -237,12 +239,14 @@
 		to.in = append(to.in, s.data...)
 		to.stir()
 	case segFin:
+		w.endArrived(to)
 		to.finIn = true
 		if to.closed && to.mute && !to.path.from.dark {
 			to.send(segReset, nil) // of an earlier life
 		}
 		to.stir()
 	case segReset:
+		w.endArrived(to)
 		if to.phase == connecting {
 			to.fail(unix.ECONNREFUSED)
 		} else {
@@ -255,6 +259,12 @@
 	w.done(s)
 }
 
+func (w *World) endArrived(to *end) {
+	if w.tap != nil && !to.closed {
+		w.tap.EndArrived(to.conn, to.path.from)
+	}
+}
+
 // fail breaks the end. What had arrived before can still be read.
 func (e *end) fail(err error) {
 	if e.closed || e.hung {
@@ -264,8 +274,21 @@
 	e.stir()
 }
 
-// invited takes a SYN.
+// invited takes a SYN, late for a part of them where LateConnects says so.
 func (h *Host) invited(e *end) {
+	if h.latePart > 0 {
+		if r := h.world.path(h, e.path.from).draw(); r.Float64() < h.latePart {
+			h.world.After(time.Duration(r.Int64N(int64(h.lateMost)+1)), func() { h.answer(e) })
+			return
+		}
+	}
+	h.answer(e)
+}
+
+// LateConnects has a part of the connections to the host, 0 to 1, come up later by up to most.
+func (h *Host) LateConnects(part float64, most time.Duration) { h.latePart, h.lateMost = part, most }
+
+func (h *Host) answer(e *end) {
 	l := h.listeners[e.conn.Port]
 	back := h.world.path(h, e.path.from)
 	s := &end{
