A slow relay is no sound one to the emulator; races at stops, time-outs and watches on real sockets

At fault: the yardstick (lab.judged), which takes whoever was not struck for sound.

Tests with real connections, all of which refute: a request in the moment of its connection's time-out, answers and requests byte by byte, a first answer without end, a second answer, half a line before the end, a client slow to read at a planned stop.

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -49,7 +49,8 @@
 	draining bool
 	silent   bool // it reads nothing and says nothing
 	fell     bool
-	setups   int // since the last report
+	setups   int       // since the last report
+	behind   time.Time // see Behind
 	report   string
 	scratch  []byte
 	tick     poll.Timer
@@ -81,6 +82,10 @@
 // Machine is what it computes with.
 func (r *Relay) Machine() *Machine { return r.machine }
 
+// Behind is when it last kept a client waiting for a third of the time within which the class wants to be set up: who has a first
+// attempt in that time is right to call it slow. Zero: never.
+func (r *Relay) Behind() time.Time { return r.behind }
+
 // Standing is how many connections it holds.
 func (r *Relay) Standing() int { return r.standing }
 
@@ -286,6 +291,9 @@
 	}
 	c := &r.c.Classes[s.class]
 	work := c.Work.Draw(r.rng).Seconds()
+	if r.machine.Behind(now) > c.SetUp/3 {
+		r.behind = now
+	}
 	until := now.Add(o.Wait)
 	switch ready := now.Add(r.machine.Behind(now) + seconds(work/r.machine.speed*r.machine.slow)); {
 	case r.draining || r.c.Most > 0 && r.standing >= r.c.Most:
--- a/internal/lab/shares.go
+++ b/internal/lab/shares.go
@@ -11,6 +11,7 @@
 	"ospreyspan/internal/mesh"
 	"ospreyspan/internal/owner"
 	"ospreyspan/internal/shared/limit"
+	"ospreyspan/internal/shared/verdict"
 	"ospreyspan/internal/vnet"
 )
 
@@ -143,7 +144,7 @@
 		return
 	}
 	for _, n := range s.nodes {
-		if n.plan.id == c.Target && s.now().Sub(n.trouble) > falseAfter {
+		if n.plan.id == c.Target && s.now().Sub(n.trouble) > falseAfter && !(c.Verdict == verdict.Slow && n.wasBehind(s.now())) {
 			s.shared.False++
 			if s.o.Log != nil {
 				fmt.Fprintf(s.o.Log, "%v %s: without a cause: %s is %v, was %v, age %v, %d witnesses, %d against\n",
@@ -153,6 +154,11 @@
 	}
 }
 
+// wasBehind tells whether the relay was really slow of late, for more clients than it can take.
+func (n *relayNode) wasBehind(now time.Time) bool {
+	return n.relay != nil && !n.relay.Behind().IsZero() && now.Sub(n.relay.Behind()) <= falseAfter
+}
+
 // falseAfter is how long after the end of a relay's trouble a verdict against it still rests on that.
 const falseAfter = 6 * time.Second
 
--- a/internal/proxy/races_test.go
+++ b/internal/proxy/races_test.go
@@ -474,3 +474,100 @@
 		b.until("the end", func() bool { return done })
 	}
 }
+
+// The time of a connection that has not asked for anything is over just when its request arrives, which the loop has not read: the
+// client finds a refusal, and its request is sent to nobody.
+func TestRequestAtTheTimeOut(t *testing.T) {
+	b := newRealBed(t, 1, false)
+	c := b.client()
+	c.say(t, "OPEN a k c=c,d=2000\r\n")
+	b.front.sessions[0].due()
+	b.until("the end", func() bool { return c.eof || c.reset })
+	b.settle()
+	if string(c.got) != "BUSY\r\n" || c.reset || b.count.Hops != 0 {
+		t.Errorf("got %q, reset %v, %d hops", c.got, c.reset, b.count.Hops)
+	}
+	b.over(c)
+}
+
+// A target answers byte by byte, and a client asks so: what is whole is passed on, and nothing before. A word that does not end, or
+// ends a little later with another one behind it, is no answer of two.
+func TestAnswersInPieces(t *testing.T) {
+	b := newRealBed(t, 1, false)
+	c := b.client()
+	for _, piece := range strings.SplitAfter("OPEN a k c=c,d=2000\r\n", "") {
+		c.say(t, piece)
+		b.settle()
+	}
+	b.until("the hop", func() bool { return b.asked("a") != nil })
+	h := b.asked("a")
+	for _, piece := range strings.SplitAfter("UP r\r\n", "") {
+		if len(c.got) > 0 {
+			t.Fatalf("the client got %q before the line was whole", c.got)
+		}
+		h.say(t, piece)
+		b.settle()
+	}
+	b.until("UP", func() bool { return string(c.got) == "UP r\r\n" })
+	h.say(t, "ERR\r\nseen") // a second answer is a line like others; half a line is kept
+	b.until("the line", func() bool { return string(c.got) == "UP r\r\nERR\r\n" })
+	h.sock.Close()
+	b.until("the end", func() bool { return c.eof })
+	if string(c.got) != "UP r\r\nERR\r\n" || c.reset {
+		t.Errorf("got %q, reset %v", c.got, c.reset)
+	}
+	b.over(c)
+
+	endless := b.client()
+	endless.say(t, "OPEN b k c=c,d=300\r\n")
+	b.until("the hop", func() bool { return b.asked("b") != nil })
+	b.asked("b").say(t, "UP for ever")
+	b.until("an answer", func() bool { return endless.eof })
+	if string(endless.got) != "BUSY\r\n" {
+		t.Errorf("got %q", endless.got)
+	}
+	b.over(endless)
+}
+
+// A client that is slow to read at a planned stop gets all whole lines of its target and MOVE, if it reads before the end; the end
+// does not wait for one that never does.
+func TestSlowReadersAtAStop(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		b := newRealBed(t, 1, false)
+		c, target := b.stands("a")
+		c.deaf = true
+		c.sock.Want(false, false)
+		text := strings.Repeat("x", 1022) + "\r\n"
+		sent := 0
+		s := b.session()
+		for len(s.link.out) == 0 { // until the kernel takes no more of it
+			n, err := target.sock.Write([]byte(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if sent += n; n < len(text) {
+				break
+			}
+			b.settle()
+		}
+		done := false
+		b.front.Drain(func() { done = true })
+		b.front.drain.begin = b.loop.Now().Add(-lateClients - time.Millisecond)
+		b.front.drain.kill = b.loop.Now().Add(b.engine.tuning.MovesDone + drainStep) // all moves are due
+		b.front.drainStep()
+		if reads {
+			c.deaf = false
+			c.sock.Want(true, false)
+			b.until("all of it", func() bool { return c.eof || c.reset })
+			if want := len(text) * (sent / len(text)); c.reset || len(c.got) < want || !strings.HasSuffix(string(c.got), "\r\nMOVE\r\n") {
+				t.Errorf("reset %v, got %d of %d bytes, at last %q", c.reset, len(c.got), want, c.got[max(len(c.got)-20, 0):])
+			}
+			c.sock.Close()
+		}
+		begin := b.loop.Now()
+		b.until("the end", func() bool { return done })
+		if took := b.loop.Now().Sub(begin); took > b.engine.tuning.MovesDone {
+			t.Errorf("reads %v: took %v", reads, took)
+		}
+	}
+}
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -161,3 +161,44 @@
 	b.engine.watch.Stop()
 	d.close()
 }
+
+// Whatever goes wrong with a watch, twice in a row and with connections that come up as late as a second, the list of whoever answers
+// then is there before what was missed counts as told (6 s after the first silence) and new work may no longer follow (0.5 s more).
+// The next question asks for the whole list: the versions of another process need not go on from those that are known.
+func TestFaultsOfAWatch(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n"
+	for name, fault := range map[string]func(c *end){
+		"silence":           func(*end) {},
+		"only headers":      func(c *end) { c.say(t, head) },
+		"half a body":       func(c *end) { c.say(t, head+`{"seq":9,"whole":true,`) },
+		"half and a reset":  func(c *end) { c.say(t, head+`{"seq":9,`); c.reset = true; c.sock.Reset() },
+		"half and the end":  func(c *end) { c.say(t, head+`{"seq":9,`); c.sock.CloseWrite() },
+		"a reset":           func(c *end) { c.reset = true; c.sock.Reset() },
+		"turned away":       func(c *end) { c.say(t, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n") },
+		"something else":    func(c *end) { c.say(t, "HELLO\r\n\r\n") },
+		"no list":           func(c *end) { c.say(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]") },
+		"a list without id": func(c *end) { c.say(t, "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n"+`{"hosts":[{}]}`) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 1, false)
+			d := newDiscovery(b)
+			b.watchAt(d.l.Addr())
+			d.asked(0)
+			b.host.LateConnects(1, time.Second)
+			begin := b.now()
+			for i := range 2 {
+				fault(d.calls[i])
+				if got := d.asked(i + 1); got != "GET /registry/instances HTTP/1.1" {
+					t.Errorf("asked %q", got)
+				}
+			}
+			d.answer(2, "{\n  \"seq\": 3,\n  \"whole\": true,\n  \"hosts\": []\n}") // an older version, and indented
+			b.until("the list", func() bool { return b.engine.table.Find("s0") == nil })
+			if took := b.since(begin); took > 6500*time.Millisecond || b.count.WatchesFailed != 2 {
+				t.Errorf("took %v, %d failures", took, b.count.WatchesFailed)
+			}
+			b.engine.watch.Stop()
+			d.close()
+		})
+	}
+}
