--- a/internal/shared/evidence/evidence.go
+++ b/internal/shared/evidence/evidence.go
@@ -80,8 +80,11 @@
 	Writer
 	start time.Time // by the reader's clock, no later than the true one; zero: not learnt
 	when  time.Time // it was learnt then
-	next  time.Time // the latest start by what was learnt since span began; it takes start's place when the span is over
-	at    time.Time // next was learnt then
+	said  time.Time // the word had left the writer itself by then
+	floor time.Time // a word that had left it before counts no more
+	next  time.Time // the latest start by what left the writer since span began; it takes start's place when the span is over
+	at    time.Time // next was learnt then...
+	src   time.Time // ...and had left the writer by then
 	span  time.Time
 	cells map[string][]window
 	bad   int // cells with trouble: this process accuses, and its sums are told
@@ -310,25 +313,31 @@
 
 // Learn takes word that a writer had run for at most age when a question was answered that this process sent at asked. Of
 // several words the one that makes it start latest holds; it fades by what clocks may drift meanwhile, and gives way to
-// later words after a while: a clock that was set ahead makes a writer seem to have started earlier, for good.
-func (s *Store) Learn(asked time.Time, by Writer, age time.Duration) {
+// later words after a while: a clock that was set ahead makes a writer seem to have started earlier, for good. old is how long ago
+// the word had left the writer itself, at the most: two that vouch to each other for what it said before its clock was set must
+// not keep that alive, so that only words count then that left it since.
+func (s *Store) Learn(asked time.Time, by Writer, age, old time.Duration) {
 	w := s.writer(by)
-	if w == nil || w == s.me || age < 0 {
+	said := asked.Add(-max(old, 0))
+	if w == nil || w == s.me || age < 0 || said.Before(w.floor) {
 		return
 	}
 	start := asked.Add(-age)
 	if w.start.IsZero() || start.After(s.started(asked, w)) {
-		w.start, w.when = start, asked
+		w.start, w.when, w.said = start, asked, said
+	}
+	if w.span.IsZero() {
+		w.span = asked
+	}
+	if said.Before(w.span) {
+		return
 	}
 	if w.next.IsZero() || start.After(w.next) {
-		w.next, w.at = start, asked
+		w.next, w.at, w.src = start, asked, said
 	}
-	switch {
-	case w.span.IsZero():
-		w.span = asked
-	case asked.Sub(w.span) >= relearn:
-		w.start, w.when = w.next, w.at
-		w.span, w.next = asked, time.Time{}
+	if asked.Sub(w.span) >= relearn {
+		w.start, w.when, w.said = w.next, w.at, w.src
+		w.floor, w.span, w.next = w.span, asked, time.Time{}
 	}
 }
 
@@ -340,13 +349,18 @@
 	return w.start.Add(-time.Duration(float64(max(now.Sub(w.when), 0)) * s.cfg.Drift))
 }
 
-// Run is for how long a writer has run at the most, which is what others may Learn; ok is false if that is not known.
-func (s *Store) Run(now time.Time, session uint64) (age time.Duration, ok bool) {
+// Run is for how long a writer has run at the most, and how long ago it had said so itself, at the most: that is what others may
+// Learn; ok is false if it is not known.
+func (s *Store) Run(now time.Time, session uint64) (age, old time.Duration, ok bool) {
 	i, ok := s.find(session)
 	if !ok || s.writers[i].start.IsZero() {
-		return 0, false
+		return 0, 0, false
+	}
+	w := s.writers[i]
+	if w != s.me {
+		old = time.Duration(float64(max(now.Sub(w.said), 0)) * (1 + s.cfg.Drift))
 	}
-	return now.Sub(s.started(now, s.writers[i])), true
+	return now.Sub(s.started(now, w)), old, true
 }
 
 // age of a cell is the time since its window's end, at the least 0; it is never under the true one.
--- a/internal/shared/evidence/evidence_test.go
+++ b/internal/shared/evidence/evidence_test.go
@@ -205,7 +205,7 @@
 	q = g.Ask(t0.Add(3*time.Second), 1)
 	m := a.Answer(t0.Add(23*time.Second), q)[0]
 	g.Take(m)
-	if run, _ := b.Run(t0.Add(3*time.Second), 1); run > 4*time.Second {
+	if run, _, _ := b.Run(t0.Add(3*time.Second), 1); run > 4*time.Second {
 		t.Errorf("the writer has run for %v", run)
 	}
 }
@@ -254,11 +254,53 @@
 	g := NewGossip(b, time.Second)
 	g.Ask(t0.Add(20*time.Second), 1)
 	g.Take(late)
-	if run, ok := b.Run(t0.Add(20*time.Second), 1); ok && run < 20*time.Second {
+	if run, _, ok := b.Run(t0.Add(20*time.Second), 1); ok && run < 20*time.Second {
 		t.Errorf("the writer seems to have run for %v, and has for 20 s", run)
 	}
 }
 
+// The writer's clock is set ahead by 3 s: what it numbers from then on seems as much later, until its start is learnt anew. Two
+// others that ask each other all the time must not keep alive what it had said before.
+func TestFormerStartIsNotKeptAlive(t *testing.T) {
+	const jump = 3 * time.Second
+	w, x, y := store(1, Flaws{}), store(2, Flaws{}), store(3, Flaws{})
+	gx, gy := NewGossip(x, time.Second), NewGossip(y, time.Second)
+	age := func(s *Store, now time.Time) (age time.Duration) {
+		age = time.Hour
+		s.Each(now, time.Hour, func(c Sighting) {
+			if c.Session == 1 && c.Target == "x" {
+				age = min(age, c.Age)
+			}
+		})
+		return age
+	}
+	for i := range 60 {
+		now := t0.Add(time.Duration(i) * 500 * time.Millisecond)
+		own := now
+		if i >= 10 {
+			own = now.Add(jump)
+		}
+		w.Saw(own, "x", Counts{Fail: 1})
+		ask := func(g *Gossip, of *Store, at time.Time) {
+			for _, m := range of.Answer(at, g.Ask(now, of.Me().Session)) {
+				g.Take(m)
+			}
+		}
+		ask(gx, w, own)
+		if i%2 == 0 {
+			ask(gy, w, own)
+		}
+		ask(gx, y, now)
+		ask(gy, x, now)
+		for name, s := range map[string]*Store{"x": x, "y": y} {
+			// All of the last two windows was seen a second ago at the most.
+			if run, _, ok := s.Run(now, 1); i >= 10+2*20 && ok && run < now.Sub(t0)+jump-time.Second {
+				t.Fatalf("%v: %s holds that the writer has run for %v, by whose clock it is %v; age %v", now.Sub(t0), name, run, own.Sub(t0), age(s, now))
+			}
+		}
+	}
+}
+
 // A store is bounded, whatever its peers claim, and what is old goes.
 func TestBounded(t *testing.T) {
 	c := DefaultConfig()
--- a/internal/shared/evidence/message.go
+++ b/internal/shared/evidence/message.go
@@ -31,6 +31,20 @@
 	Zone    string `cbor:"3,keyasint,omitempty"`
 	RunMS   int64  `cbor:"4,keyasint,omitempty"` // how long it has run at the most, in an answer; below 0: not known
 	Cells   []Cell `cbor:"5,keyasint,omitempty"`
+	OldMS   int64  `cbor:"6,keyasint,omitempty"` // how long ago the writer itself said so, at the most; 0: it says it now
+}
+
+// runs tells for how long the row's writer has run, if that is known: rounded up, since older does no harm and younger does.
+func (s *Store) runs(now time.Time, r *Row) bool {
+	run, old, ok := s.Run(now, r.Session)
+	if !ok {
+		return false
+	}
+	r.RunMS = run.Milliseconds() + 1
+	if r.Session != s.me.Session {
+		r.OldMS = old.Milliseconds() + 1
+	}
+	return true
 }
 
 // Cell is one cell.
@@ -108,9 +122,11 @@
 	if len(q.Who) > 0 {
 		first := &Message{Seq: q.Seq, From: since, Upto: since}
 		for _, id := range q.Who[:min(len(q.Who), perMessage)] {
-			if run, ok := s.Run(now, id); ok {
-				i, _ := s.find(id)
-				first.Rows = append(first.Rows, Row{Session: id, Name: s.writers[i].Name, Zone: s.writers[i].Zone, RunMS: run.Milliseconds() + 1})
+			if i, ok := s.find(id); ok {
+				r := Row{Session: id, Name: s.writers[i].Name, Zone: s.writers[i].Zone}
+				if s.runs(now, &r) {
+					first.Rows = append(first.Rows, r)
+				}
 			}
 		}
 		out = append([]*Message{first}, out...)
@@ -140,7 +156,7 @@
 	}
 	m := s.parts(now, 0, all, 0)[0]
 	for i := range m.Rows {
-		m.Rows[i].RunMS = -1
+		m.Rows[i].RunMS, m.Rows[i].OldMS = -1, 0
 	}
 	return m
 }
@@ -154,9 +170,7 @@
 			if i < 0 {
 				i = len(m.Rows)
 				r := Row{Session: c.w.Session, Name: c.w.Name, Zone: c.w.Zone, RunMS: -1}
-				if run, ok := s.Run(now, c.w.Session); ok {
-					r.RunMS = run.Milliseconds() + 1 // rounded up: older, never younger
-				}
+				s.runs(now, &r)
 				m.Rows = append(m.Rows, r)
 			}
 			m.Rows[i].Cells = append(m.Rows[i].Cells, Cell{c.t, c.n, c.c})
@@ -179,7 +193,7 @@
 	for _, r := range m.Rows {
 		by := Writer{r.Session, r.Name, r.Zone}
 		if !asked.IsZero() && r.RunMS >= 0 {
-			s.Learn(asked, by, time.Duration(r.RunMS)*time.Millisecond)
+			s.Learn(asked, by, time.Duration(r.RunMS)*time.Millisecond, time.Duration(r.OldMS)*time.Millisecond)
 		}
 		for _, c := range r.Cells {
 			news = s.Take(by, c.Target, c.Window, c.Counts) || news
