The front's own refusals advise when to come again only as the settings allow

Seen by reading for another customer's settings: a planned stop and a shortage of descriptors answered `BUSY 1000` whatever Permissions.RetryAfter and MaxRetryAfterUs say (Lines.drainStep, shut, turnAway, session.first); the module's refusals keep to both. Ruled out: cutShort at the end of time, which asks the settings.

Now all go through Engine.Advice.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -61,7 +61,7 @@
 	d := &f.drain
 	now := f.loop.Now()
 	if now.After(d.kill.Add(-answersDone)) {
-		f.engine.Shutdown(drainAdvice)
+		f.engine.Shutdown(f.engine.Advice(drainAdvice))
 	}
 	f.moveSome(now)
 	if !d.shut && (now.Sub(d.begin) > lateClients && f.idle() || now.After(d.shutBy())) {
@@ -110,7 +110,7 @@
 			s.read()
 		}
 		if s.state == opening {
-			s.last(busy(drainAdvice))
+			s.last(busy(f.engine.Advice(drainAdvice)))
 		}
 	}
 }
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -252,6 +252,10 @@
 	e.cutShort(x, e.set.Config.MaxAdvice)
 }
 
+// Advice is what a refused client may be told of when to come again: not longer than the settings have it heeded, and nothing where
+// they do not pass it on.
+func (e *Engine) Advice(most time.Duration) time.Duration { return min(most, e.set.Config.MaxAdvice) }
+
 // inOrder returns all exchanges, the first one first: what is done to many must not depend on the order of a map.
 func (e *Engine) inOrder() []*Exchange {
 	return slices.SortedFunc(maps.Values(e.exchanges), func(a, b *Exchange) int { return cmp.Compare(a.id, b.id) })
--- a/internal/proxy/lines.go
+++ b/internal/proxy/lines.go
@@ -136,7 +136,7 @@
 			f.log.Printf("out of descriptors: %d open of %d", f.loop.Open(), f.sockets)
 		}
 		s.link.skim(f.scratch, spillMost)
-		_ = s.link.write(busy(fullAdvice))
+		_ = s.link.write(busy(f.engine.Advice(fullAdvice)))
 	} else {
 		s.link.skim(f.scratch, spillMost) // its last line may still be on its way
 	}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -147,7 +147,7 @@
 	}
 	if f.drain.shut {
 		f.count.Shed++
-		s.last(busy(drainAdvice))
+		s.last(busy(f.engine.Advice(drainAdvice)))
 		return
 	}
 	// The client's time runs since it sent the line, which may have waited for this turn of the loop.
