--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,7 +23,7 @@
 	scanSize    = 3    // backends of a sampled scan
 	fallShare   = 0.8  // part of the fall multiple that all relays mean to send a cold backend
 	coldShare   = 0.6  // likewise by the ranks of groups, of which a large one brings several even parts
-	waveShare   = 0.3  // of that for clients that were moved, cut off or held: a group comes at once
+	waveShare   = 0.7  // of that for clients that were moved, cut off or held: they come in waves
 	borneLeast  = 0.25 // load that the warm backends are taken to bear at the least
 	drawTries   = 6    // draws for each backend of a sample, so that few ready ones are found
 	heldMore    = 2    // backends that are looked at besides for requests that were held
@@ -234,8 +234,7 @@
 	if w >= 1 {
 		return true
 	}
-	idle := k.weight / fullWeight // by a report that is late: as much again may have come since
-	p := w / load * b.cfg.Rules.FallMultiple * coldShare * idle * idle
+	p := w / load * b.cfg.Rules.FallMultiple * coldShare * k.weight / fullWeight // what it has already counts
 	if r.Again || r.parks > 0 {
 		p *= waveShare
 	}
