--- /dev/null
+++ b/cmd/ospreyspan/bed_test.go
@@ -0,0 +1,288 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ospreyspan/internal/line"
+)
+
+// bed is the program in a process of its own between servers, a discovery and clients that the test plays. What they receive is
+// what its verdicts count.
+type bed struct {
+	t         *testing.T
+	process   *process
+	discovery *testDiscovery
+	servers   []*testServer
+}
+
+// bedConfig is what a bed is made of.
+type bedConfig struct {
+	servers   int
+	waits     map[string]time.Duration // deadlines of classes, where they differ from the example's
+	configure func(settings map[string]any)
+	env       []string
+}
+
+// newBed starts servers, a discovery that names them and the program, and waits until that answers PONG.
+func newBed(t *testing.T, c bedConfig) *bed {
+	t.Helper()
+	b := &bed{t: t}
+	for i := range c.servers {
+		b.servers = append(b.servers, newTestServer(t, fmt.Sprint("s", i)))
+	}
+	b.discovery = newTestDiscovery(t, b.servers)
+	b.process = startProcessIn(t, 1024, c.env, func(config map[string]any) {
+		config["discovery"] = b.discovery.at
+		config["known"] = json.RawMessage(b.discovery.list())
+		set := config["settings"].(map[string]any)
+		for _, class := range set["Classes"].([]any) {
+			class := class.(map[string]any)
+			if wait := c.waits[class["Name"].(string)]; wait > 0 {
+				class["HardLimitUs"] = wait.Microseconds()
+				class["TargetUs"] = min(wait.Microseconds()/2, int64(class["TargetUs"].(float64)))
+			}
+		}
+		if c.configure != nil {
+			c.configure(set)
+		}
+	})
+	return b
+}
+
+// testServer takes all connections that it is sent and echoes their lines.
+type testServer struct {
+	name     string
+	at       string
+	lock     sync.Mutex
+	bornMS   int64
+	health   string
+	answer   func(id string) string // to a request; empty: none at all
+	attempts []attempt
+}
+
+// attempt is a request's line as a server received it.
+type attempt struct {
+	id    string
+	at    time.Time
+	ended time.Time // its end by the proxy, or its answer other than UP
+}
+
+func newTestServer(t *testing.T, name string) *testServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &testServer{name: name, at: l.Addr().String(), health: "SERVING"}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *testServer) serve(c net.Conn) {
+	defer c.Close()
+	lines := bufio.NewScanner(c)
+	mine := -1
+	for lines.Scan() {
+		text := lines.Text()
+		switch {
+		case strings.HasPrefix(text, "OPEN "):
+			id := strings.Fields(text)[1]
+			reply := "UP " + s.name
+			s.lock.Lock()
+			mine = len(s.attempts)
+			s.attempts = append(s.attempts, attempt{id: id, at: time.Now()})
+			if s.answer != nil {
+				reply = s.answer(id)
+			}
+			s.lock.Unlock()
+			if reply == "" {
+				continue
+			}
+			fmt.Fprint(c, reply+"\r\n")
+			if !strings.HasPrefix(reply, "UP ") {
+				s.end(mine)
+				return
+			}
+		case text == "STATS":
+			fmt.Fprint(c, "PONG cpu=0.1,x0=0.1,rps=1\r\n")
+		default:
+			fmt.Fprint(c, text+"\r\n")
+		}
+	}
+	if mine >= 0 {
+		s.end(mine)
+	}
+}
+
+func (s *testServer) end(i int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.attempts[i].ended = time.Now()
+}
+
+// received are the attempts so far.
+func (s *testServer) received() []attempt {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return append([]attempt(nil), s.attempts...)
+}
+
+// testDiscovery answers with the servers' present state. A watch waits for a change.
+type testDiscovery struct {
+	at      string
+	lock    sync.Mutex
+	servers []*testServer
+	version int
+	changed chan struct{}
+}
+
+func newTestDiscovery(t *testing.T, servers []*testServer) *testDiscovery {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &testDiscovery{at: l.Addr().String(), servers: servers, version: 1, changed: make(chan struct{})}
+	server := &http.Server{Handler: d}
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+	return d
+}
+
+// list is the whole list.
+func (d *testDiscovery) list() string {
+	var hosts []string
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	for _, s := range d.servers {
+		s.lock.Lock()
+		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"here","class":"m","block":0,"health":%q,"share":1,"born_ms":%d}`, s.name, s.at, s.health, s.bornMS))
+		s.lock.Unlock()
+	}
+	return fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[%s]}`, d.version, strings.Join(hosts, ","))
+}
+
+// change tells all watches of what has changed in the servers.
+func (d *testDiscovery) change() {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.version++
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *testDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.lock.Lock()
+	known, changed := r.FormValue("index") == fmt.Sprint(d.version), d.changed
+	d.lock.Unlock()
+	if known {
+		wait, _ := time.ParseDuration(r.FormValue("wait") + "ms")
+		select {
+		case <-changed:
+		case <-time.After(wait):
+			d.lock.Lock()
+			fmt.Fprintf(w, `{"seq":%d,"whole":false,"hosts":[]}`, d.version)
+			d.lock.Unlock()
+			return
+		}
+	}
+	io.WriteString(w, d.list())
+}
+
+// testClient is one client's connection to the program.
+type testClient struct {
+	id    string
+	conn  net.Conn
+	lines *bufio.Reader
+	sent  time.Time // its request's last byte
+}
+
+// dial connects without a request.
+func (b *bed) dial() (*testClient, error) {
+	conn, err := net.DialTimeout("tcp", b.process.at, 2*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &testClient{conn: conn, lines: bufio.NewReader(conn)}, nil
+}
+
+// ask sends the request's line.
+func (c *testClient) ask(id, class string, wait time.Duration) error {
+	c.id = id
+	_, err := fmt.Fprintf(c.conn, "OPEN %s k%s c=%s,d=%d,g=g%s\r\n", id, id, class, wait.Milliseconds(), id)
+	c.sent = time.Now()
+	return err
+}
+
+// next reads a line, without its end. io.EOF and resets come as errors.
+func (c *testClient) next(within time.Duration) (string, error) {
+	_ = c.conn.SetReadDeadline(time.Now().Add(within))
+	text, err := c.lines.ReadString('\n')
+	return strings.TrimRight(text, "\r\n"), err
+}
+
+// answerLatest is how long after a client's time its final answer may come, by the standing pages.
+const answerLatest = 500 * time.Millisecond
+
+// answerTo sends a request on a connection of its own and returns the first word of its answer.
+func (b *bed) answerTo(id, class string, wait time.Duration) (c *testClient, word string, err error) {
+	if c, err = b.dial(); err != nil {
+		return nil, "", err
+	}
+	if err = c.ask(id, class, wait); err != nil {
+		return c, "", err
+	}
+	text, err := c.next(wait + answerLatest)
+	if err != nil {
+		return c, "", fmt.Errorf("no answer after %v: %w", time.Since(c.sent).Round(time.Millisecond), err)
+	}
+	first, _ := line.ParseWord([]byte(text))
+	switch first {
+	case line.Up:
+		return c, "UP", nil
+	case line.Busy:
+		return c, "BUSY", nil
+	}
+	return c, text, nil
+}
+
+// oneAttemptAtATime checks at the servers that no request had two attempts out together.
+func (b *bed) oneAttemptAtATime() {
+	b.t.Helper()
+	out := make(map[string][]attempt)
+	for _, s := range b.servers {
+		for _, a := range s.received() {
+			out[a.id] = append(out[a.id], a)
+		}
+	}
+	for id, list := range out {
+		for i, a := range list {
+			for _, other := range list[i+1:] {
+				if a.at.After(other.at) {
+					a, other = other, a
+				}
+				if a.ended.IsZero() || a.ended.After(other.at) {
+					b.t.Errorf("request %s: an attempt began at %v while another was out", id, other.at)
+				}
+			}
+		}
+	}
+}
--- a/cmd/ospreyspan/descriptors_test.go
+++ b/cmd/ospreyspan/descriptors_test.go
@@ -57,6 +57,12 @@
 // startProcess starts the program with a configuration that is changed out of the example's, under a limit of descriptors, and
 // waits until it serves. The limit is set while the program reads its configuration, which is a FIFO.
 func startProcess(t *testing.T, limit uint64, change func(c map[string]any)) *process {
+	t.Helper()
+	return startProcessIn(t, limit, nil, change)
+}
+
+// startProcessIn is startProcess with further variables in the program's environment.
+func startProcessIn(t *testing.T, limit uint64, env []string, change func(c map[string]any)) *process {
 	t.Helper()
 	var c map[string]any
 	if err := json.Unmarshal([]byte(example(t)), &c); err != nil {
@@ -74,7 +80,7 @@
 		t.Fatal(err)
 	}
 	p.cmd = exec.Command(os.Args[0])
-	p.cmd.Env = append(os.Environ(), "OSPREYSPAN_TEST_PROGRAM=1", "EDGE_CONFIG="+fifo)
+	p.cmd.Env = append(append(os.Environ(), "OSPREYSPAN_TEST_PROGRAM=1", "EDGE_CONFIG="+fifo), env...)
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/cmd/ospreyspan/main.go
+++ b/cmd/ospreyspan/main.go
@@ -48,6 +48,9 @@
 	}()
 }
 
+// systemCalls are those that the loop makes; a test has them fail.
+var systemCalls = poll.LinuxCalls()
+
 // run serves until a planned stop is over. own is the operator's file, empty for none.
 func run(env func(string) string, own string, out io.Writer) error {
 	var sig signals
@@ -66,7 +69,7 @@
 	limitMemory(c)
 	logger := log.New(shared.writer(out), "", 0)
 	var proxy *instance.Instance
-	loop, err := poll.New(func() {
+	loop, err := poll.NewWithCalls(systemCalls, func() {
 		if sig.print.Swap(false) {
 			proxy.Count.Print(out)
 			shared.print(proxy, out)
--- a/cmd/ospreyspan/signals_test.go
+++ b/cmd/ospreyspan/signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,11 +11,23 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"ospreyspan/internal/poll/callfaults"
 )
 
+// faultsVariable names the plan by which the program's system calls fail.
+const faultsVariable = "OSPREYSPAN_TEST_FAULTS"
+
 // TestMain runs the program itself in a process of a test's own.
 func TestMain(m *testing.M) {
 	if os.Getenv("OSPREYSPAN_TEST_PROGRAM") != "" {
+		if text := os.Getenv(faultsVariable); text != "" {
+			var plan callfaults.Plan
+			if err := json.Unmarshal([]byte(text), &plan); err != nil {
+				panic(err)
+			}
+			systemCalls = callfaults.Wrap(systemCalls, plan)
+		}
 		os.Exit(command(nil, os.Getenv, os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
--- a/internal/poll/epoll.go
+++ b/internal/poll/epoll.go
@@ -11,12 +11,13 @@
 
 // epoll is the Kernel that serves: Linux's sockets and epoll, without blocking.
 type epoll struct {
+	calls        SystemCalls
 	epfd, wakefd int
 	gathered     [batch]unix.EpollEvent
 }
 
 // newEpoll opens the two descriptors that a loop needs for itself.
-func newEpoll() (*epoll, error) {
+func newEpoll(calls SystemCalls) (*epoll, error) {
 	epfd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
@@ -32,7 +33,7 @@
 		unix.Close(epfd)
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
-	return &epoll{epfd: epfd, wakefd: wakefd}, nil
+	return &epoll{calls: calls, epfd: epfd, wakefd: wakefd}, nil
 }
 
 func (k *epoll) Now() time.Time { return time.Now() }
@@ -57,7 +58,7 @@
 }
 
 func (k *epoll) Wait(events []Event, most time.Duration) (int, error) {
-	n, err := unix.EpollWait(k.epfd, k.gathered[:min(len(events), len(k.gathered))], millis(most))
+	n, err := k.calls.EpollWait(k.epfd, k.gathered[:min(len(events), len(k.gathered))], millis(most))
 	if err != nil {
 		if errors.Is(err, unix.EINTR) { // a signal is no reason to stop
 			return 0, nil
@@ -116,21 +117,21 @@
 }
 
 func (k *epoll) Connect(to netip.AddrPort) (int, error) {
-	fd, err := unix.Socket(family(to.Addr()), unix.SOCK_STREAM|quiet, 0)
+	fd, err := k.calls.Socket(family(to.Addr()), unix.SOCK_STREAM|quiet, 0)
 	if err != nil {
 		return -1, fmt.Errorf("%w: %w", ErrNoSocket, err)
 	}
 	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // only speed is lost without it
-	err = unix.Connect(fd, sockaddr(to))
+	err = k.calls.Connect(fd, sockaddr(to))
 	if err != nil && !errors.Is(err, unix.EINPROGRESS) && !errors.Is(err, unix.EINTR) { // EINTR: it goes on all the same
-		unix.Close(fd)
+		k.CloseFD(fd)
 		return -1, ownFault(err)
 	}
 	return fd, nil
 }
 
 func (k *epoll) Listen(at netip.AddrPort, receive int) (int, error) {
-	fd, err := unix.Socket(family(at.Addr()), unix.SOCK_STREAM|quiet, 0)
+	fd, err := k.calls.Socket(family(at.Addr()), unix.SOCK_STREAM|quiet, 0)
 	if err != nil {
 		return -1, fmt.Errorf("socket: %w", err)
 	}
@@ -139,20 +140,20 @@
 		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receive)
 	}
 	if err == nil {
-		err = unix.Bind(fd, sockaddr(at))
+		err = k.calls.Bind(fd, sockaddr(at))
 	}
 	if err == nil {
-		err = unix.Listen(fd, unix.SOMAXCONN)
+		err = k.calls.Listen(fd, unix.SOMAXCONN)
 	}
 	if err != nil {
-		unix.Close(fd)
+		k.CloseFD(fd)
 		return -1, err
 	}
 	return fd, nil
 }
 
 func (k *epoll) Accept(fd int) (int, error) {
-	conn, _, err := unix.Accept4(fd, quiet)
+	conn, _, err := k.calls.Accept(fd, quiet)
 	switch {
 	case err == nil:
 		_ = unix.SetsockoptInt(conn, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
@@ -168,22 +169,22 @@
 }
 
 func (k *epoll) OpenUDP(at netip.AddrPort) (int, error) {
-	fd, err := unix.Socket(family(at.Addr()), unix.SOCK_DGRAM|quiet, 0)
+	fd, err := k.calls.Socket(family(at.Addr()), unix.SOCK_DGRAM|quiet, 0)
 	if err != nil {
 		return -1, fmt.Errorf("%w: %w", ErrNoSocket, err)
 	}
-	if err := unix.Bind(fd, sockaddr(at)); err != nil {
-		unix.Close(fd)
+	if err := k.calls.Bind(fd, sockaddr(at)); err != nil {
+		k.CloseFD(fd)
 		return -1, err
 	}
 	return fd, nil
 }
 
 func (k *epoll) Spare() (int, error) {
-	return unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
+	return k.calls.OpenFile("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
 }
 
-func (k *epoll) CloseFD(fd int) { unix.Close(fd) }
+func (k *epoll) CloseFD(fd int) { _ = k.calls.Close(fd) } // the descriptor is gone, whatever it returns
 
 func mask(want Interest) uint32 {
 	var events uint32
@@ -198,18 +199,18 @@
 
 func (k *epoll) Watch(fd int, want Interest, slot, gen int32) error {
 	ev := unix.EpollEvent{Events: mask(want), Fd: slot, Pad: gen}
-	return unix.EpollCtl(k.epfd, unix.EPOLL_CTL_ADD, fd, &ev)
+	return k.calls.EpollControl(k.epfd, unix.EPOLL_CTL_ADD, fd, &ev)
 }
 
 func (k *epoll) Rewatch(fd int, want Interest, slot, gen int32) {
 	ev := unix.EpollEvent{Events: mask(want), Fd: slot, Pad: gen}
 	// It can fail only for a descriptor that is not in the set, which the loop's add and remove rule out.
-	_ = unix.EpollCtl(k.epfd, unix.EPOLL_CTL_MOD, fd, &ev)
+	_ = k.calls.EpollControl(k.epfd, unix.EPOLL_CTL_MOD, fd, &ev)
 }
 
 func (k *epoll) Read(fd int, p []byte) (int, error) {
 	for {
-		n, err := unix.Read(fd, p)
+		n, err := k.calls.Read(fd, p)
 		switch err {
 		case nil:
 			return n, nil
@@ -225,7 +226,7 @@
 // Send raises no SIGPIPE on a broken connection.
 func (k *epoll) Send(fd int, p []byte) (int, error) {
 	for {
-		n, err := unix.SendmsgN(fd, p, nil, nil, unix.MSG_NOSIGNAL)
+		n, err := k.calls.Send(fd, p)
 		switch err {
 		case nil:
 			return n, nil
--- a/internal/poll/loop.go
+++ b/internal/poll/loop.go
@@ -46,8 +46,11 @@
 }
 
 // New returns a Loop on epoll. wake is called on the loop after Wake.
-func New(wake func()) (*Loop, error) {
-	k, err := newEpoll()
+func New(wake func()) (*Loop, error) { return NewWithCalls(LinuxCalls(), wake) }
+
+// NewWithCalls is New with other system calls than Linux's own.
+func NewWithCalls(calls SystemCalls, wake func()) (*Loop, error) {
+	k, err := newEpoll(calls)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/poll/syscalls.go
@@ -0,0 +1,38 @@
+package poll
+
+import "golang.org/x/sys/unix"
+
+// SystemCalls are the calls of Linux that the epoll kernel makes and that may fail for a moment though nothing is wrong with the
+// program. A test replaces some of them to make them fail as their manual pages say.
+type SystemCalls struct {
+	Socket       func(domain, kind, protocol int) (int, error)
+	Bind         func(fd int, at unix.Sockaddr) error
+	Listen       func(fd, backlog int) error
+	Connect      func(fd int, to unix.Sockaddr) error
+	Accept       func(fd, flags int) (int, unix.Sockaddr, error)
+	EpollControl func(epfd, op, fd int, event *unix.EpollEvent) error
+	EpollWait    func(epfd int, events []unix.EpollEvent, milliseconds int) (int, error)
+	Read         func(fd int, p []byte) (int, error)
+	Send         func(fd int, p []byte) (int, error)
+	OpenFile     func(path string, flags int, mode uint32) (int, error)
+	Close        func(fd int) error
+}
+
+// LinuxCalls returns the calls themselves.
+func LinuxCalls() SystemCalls {
+	return SystemCalls{
+		Socket:       unix.Socket,
+		Bind:         unix.Bind,
+		Listen:       unix.Listen,
+		Connect:      unix.Connect,
+		Accept:       unix.Accept4,
+		EpollControl: unix.EpollCtl,
+		EpollWait:    unix.EpollWait,
+		Read:         unix.Read,
+		Send: func(fd int, p []byte) (int, error) { // raises no SIGPIPE on a broken connection
+			return unix.SendmsgN(fd, p, nil, nil, unix.MSG_NOSIGNAL)
+		},
+		OpenFile: unix.Open,
+		Close:    unix.Close,
+	}
+}
