System calls that fail for a moment lose and refuse no request

Seen in TestSystemCallsFail (a real process whose calls fail by plan): read and send ENOBUFS/ENOMEM were taken for a broken connection (Kernel.Read, Send); a socket that epoll_ctl could not add was closed unanswered and a failed MOD was dropped, so that nobody listened any more (Loop.add, Rewatch); ENFILE on accept was taken for the process's own limit and the client turned away though 3 of 1,024 descriptors were open; an accept that was aborted just then left the listener without its reserve; other errors of accept ended the batch, at a planned stop for good; connect's ENETUNREACH, EHOSTUNREACH, EACCES and a failed socket ended the attempt at once, so that all five attempts of a request went in one moment and sound servers were ejected; a start whose listener failed once ended with 1.

Now: shortages read and write later; sockets that the kernel does not watch yet are asked for again each turn (Loop.watch); a shortage of the machine is waited out for 0.2 s before the reserve is used; a stop keeps the listener until nothing waits; a connection that could not be begun is begun again every 10 ms within the dial's time; a start tries for 5 s.

--- a/cmd/ospreyspan/main.go
+++ b/cmd/ospreyspan/main.go
@@ -55,7 +55,11 @@
 func run(env func(string) string, own string, out io.Writer) error {
 	var sig signals
 	sig.catch()
-	c, err := loadConfig(env)
+	var c *config
+	err := patiently(func() (err error) {
+		c, err = loadConfig(env)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -69,7 +73,7 @@
 	limitMemory(c)
 	logger := log.New(shared.writer(out), "", 0)
 	var proxy *instance.Instance
-	loop, err := poll.NewWithCalls(systemCalls, func() {
+	wake := func() {
 		if sig.print.Swap(false) {
 			proxy.Count.Print(out)
 			shared.print(proxy, out)
@@ -81,6 +85,11 @@
 		if sig.stop.Swap(false) {
 			proxy.Drain()
 		}
+	}
+	var loop *poll.Loop
+	err = patiently(func() (err error) {
+		loop, err = poll.NewWithCalls(systemCalls, wake)
+		return err
 	})
 	if err != nil {
 		return err
@@ -94,7 +103,7 @@
 	defer shared.close()
 	proxy, err = instance.New(loop, instance.Config{
 		Fleet: fleet, Name: c.Name, Listen: c.Listen, Discovery: c.Discovery, Seed: uint64(c.Seed), Sockets: c.Limits.Sockets,
-		Known: &c.Known, Settings: c.settings, Log: logger,
+		Known: &c.Known, Settings: c.settings, Log: logger, Retry: patiently,
 	})
 	if err != nil {
 		return err
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -29,6 +29,8 @@
 	Tuning    *proxy.Tuning // nil: what serves
 	Log       *log.Logger
 	Fleet     *Fleet // nil: this proxy shares nothing with others
+	// Retry tries something again while it fails for a passing reason; nil: it is tried once.
+	Retry func(try func() error) error
 }
 
 // Instance is one proxy. It belongs to its loop's goroutine.
@@ -53,7 +55,13 @@
 		return nil, err
 	}
 	i.front = proxy.NewLines(i.engine, c.Sockets)
-	if err := i.front.Listen(c.Listen); err != nil {
+	listen := func() error { return i.front.Listen(c.Listen) }
+	if c.Retry != nil {
+		err = c.Retry(listen)
+	} else {
+		err = listen()
+	}
+	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	if c.Fleet != nil {
--- a/internal/poll/epoll.go
+++ b/internal/poll/epoll.go
@@ -106,12 +106,14 @@
 
 const quiet = unix.SOCK_NONBLOCK | unix.SOCK_CLOEXEC
 
-// ownFault marks the errors of connect that this machine is the cause of, out of ports or of memory, with
-// ErrNoSocket.
+// ownFault marks the errors of connect for which the other side is not to blame: this machine is out of ports or of memory, or its
+// routes and filters let nothing out to that address now.
 func ownFault(err error) error {
 	switch err {
 	case unix.EADDRNOTAVAIL, unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM:
 		return fmt.Errorf("%w: %w", ErrNoSocket, err)
+	case unix.ENETUNREACH, unix.ENETDOWN, unix.EHOSTUNREACH, unix.EHOSTDOWN, unix.EACCES, unix.EPERM:
+		return fmt.Errorf("%w: %w", ErrNoPath, err)
 	}
 	return err
 }
@@ -158,14 +160,24 @@
 	case err == nil:
 		_ = unix.SetsockoptInt(conn, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 		return conn, nil
-	case errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE):
-		return -1, ErrDescriptors
-	case errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED):
-		return -1, ErrAborted
-	case errors.Is(err, unix.EAGAIN):
-		return -1, ErrAgain
 	}
-	return -1, err
+	return -1, acceptFault(err)
+}
+
+// acceptFault tells an error of accept by what is to be done about it. Linux passes on what is wrong with the connection that was
+// next, whatever that is, and the others are to be accepted all the same.
+func acceptFault(err error) error {
+	switch err {
+	case unix.EAGAIN:
+		return ErrAgain
+	case unix.EMFILE:
+		return ErrDescriptors
+	case unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
+		return fmt.Errorf("%w: %w", ErrShortage, err)
+	case unix.EBADF, unix.EFAULT, unix.EINVAL, unix.ENOTSOCK, unix.EOPNOTSUPP:
+		return err
+	}
+	return ErrAborted
 }
 
 func (k *epoll) OpenUDP(at netip.AddrPort) (int, error) {
@@ -202,10 +214,9 @@
 	return k.calls.EpollControl(k.epfd, unix.EPOLL_CTL_ADD, fd, &ev)
 }
 
-func (k *epoll) Rewatch(fd int, want Interest, slot, gen int32) {
+func (k *epoll) Rewatch(fd int, want Interest, slot, gen int32) error {
 	ev := unix.EpollEvent{Events: mask(want), Fd: slot, Pad: gen}
-	// It can fail only for a descriptor that is not in the set, which the loop's add and remove rule out.
-	_ = k.calls.EpollControl(k.epfd, unix.EPOLL_CTL_MOD, fd, &ev)
+	return k.calls.EpollControl(k.epfd, unix.EPOLL_CTL_MOD, fd, &ev)
 }
 
 func (k *epoll) Read(fd int, p []byte) (int, error) {
@@ -214,7 +225,7 @@
 		switch err {
 		case nil:
 			return n, nil
-		case unix.EAGAIN:
+		case unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM: // a shortage is over soon, and the socket stays ready
 			return 0, ErrAgain
 		case unix.EINTR:
 		default:
@@ -230,7 +241,7 @@
 		switch err {
 		case nil:
 			return n, nil
-		case unix.EAGAIN:
+		case unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM:
 			return 0, ErrAgain
 		case unix.EINTR:
 		default:
--- a/internal/poll/kernel.go
+++ b/internal/poll/kernel.go
@@ -23,12 +23,12 @@
 	Close()
 
 	// Connect opens a TCP connection. It is up, or has failed, once its descriptor is ready for writing; Fault
-	// tells which. An error here is about this machine if it is ErrNoSocket, else about the way to the address.
+	// tells which. An error here is about this machine if it is ErrNoSocket, about the way to the address if it is ErrNoPath.
 	Connect(to netip.AddrPort) (fd int, err error)
 	// Listen opens a TCP listener; what it accepts keeps no more than receive bytes unread.
 	Listen(at netip.AddrPort, receive int) (fd int, err error)
 	// Accept takes a connection off a listener: ErrAgain if none waits, ErrDescriptors if this process may hold
-	// no more, ErrAborted if the one that waited has ended.
+	// no more, ErrShortage if the machine is out of files or memory, ErrAborted if the one that waited has ended.
 	Accept(fd int) (conn int, err error)
 	// OpenUDP opens a UDP socket at an address; port 0 picks one.
 	OpenUDP(at netip.AddrPort) (fd int, err error)
@@ -38,9 +38,9 @@
 	CloseFD(fd int)
 
 	// Watch puts a descriptor under Wait, with the slot and generation that its events are to carry; Rewatch
-	// changes what is waited for.
+	// changes what is waited for. Either may fail for want of memory, and is to be tried again then.
 	Watch(fd int, want Interest, slot, gen int32) error
-	Rewatch(fd int, want Interest, slot, gen int32)
+	Rewatch(fd int, want Interest, slot, gen int32) error
 
 	// Read and Send move bytes of a connection: ErrAgain, unwrapped, if there are none, or no room. Read returns 0 bytes
 	// without an error once the other end has ended its sending.
@@ -86,6 +86,10 @@
 	ErrAgain = errors.New("poll: not ready")
 	// ErrNoSocket means that this machine has no descriptor, port or memory left: the other side is not at fault.
 	ErrNoSocket = errors.New("poll: no socket")
+	// ErrNoPath means that this machine's routes or filters let nothing out to an address now: the other side may be sound.
+	ErrNoPath = errors.New("poll: no path")
+	// ErrShortage means that the whole machine is out of files or memory, which this process can't change.
+	ErrShortage = errors.New("poll: the machine is short of files or memory")
 	// ErrDescriptors means that the process may hold no more descriptors.
 	ErrDescriptors = errors.New("poll: out of descriptors")
 	// ErrAborted means that a connection ended before it was accepted; another may wait.
--- a/internal/poll/listener.go
+++ b/internal/poll/listener.go
@@ -10,10 +10,11 @@
 // Listener accepts connections. It keeps one descriptor in reserve: without it a process that is out of
 // descriptors could neither answer new connections nor get rid of them, and would turn without end.
 type Listener struct {
-	sock    *Socket
-	reserve int
-	accept  func(s *Socket, last bool) Handler
-	retry   Timer
+	sock       *Socket
+	reserve    int // -1: none
+	accept     func(s *Socket, last bool) Handler
+	retry      Timer
+	shortSince time.Time // the machine has been short of files or memory since then; zero: it is not
 }
 
 // receiveBuffer bounds what the kernel keeps of a connection that is not read: some clients send megabytes, and
@@ -29,85 +30,120 @@
 	}
 	n := &Listener{accept: accept, reserve: -1}
 	n.retry.Fire = func() { n.sock.Want(true, false) }
-	if n.sock, err = l.add(fd, n, WantRead); err != nil {
-		return nil, err
-	}
-	n.hoard()
+	n.sock = l.add(fd, n, WantRead)
+	n.takeReserve()
 	return n, nil
 }
 
-func (n *Listener) hoard() {
+// takeReserve opens the reserve descriptor unless it is there.
+func (n *Listener) takeReserve() {
+	if n.reserve >= 0 || n.sock.fd < 0 {
+		return
+	}
 	fd, err := n.sock.loop.kernel.Spare()
 	if err != nil {
-		fd = -1 // tried again at the next shortage
+		fd = -1 // tried again with the next connection
 	}
 	n.reserve = fd
 }
 
-// unhoard gives the reserve back.
-func (n *Listener) unhoard() {
+// releaseReserve gives the reserve back.
+func (n *Listener) releaseReserve() {
 	if n.reserve >= 0 {
 		n.sock.loop.kernel.CloseFD(n.reserve)
 		n.reserve = -1
 	}
 }
 
-// acceptBatch bounds the connections taken in one turn, so that a surge does not starve the others.
-const acceptBatch = 64
-
-// shortageRest is how long nothing is accepted when there is no descriptor at all.
-const shortageRest = 20 * time.Millisecond
+const (
+	// acceptBatch bounds the connections taken in one turn, so that a surge does not starve the others.
+	acceptBatch = 64
+	// acceptMost bounds the batches of AcceptAll, in case connections come as fast as they are accepted: more than the kernel's queue.
+	acceptMost = 256
+	// shortageRest is how long nothing is accepted when there is no descriptor at all, or the machine is short of something: the
+	// listener stays ready, and a loop that looks again at once would do nothing else.
+	shortageRest = 5 * time.Millisecond
+	// shortageMost is how long a shortage of the machine is waited out. From then on the reserve's place is used, and who is accepted
+	// on it is turned away: a client that waits unread for longer may have no time left for its answer.
+	shortageMost = 200 * time.Millisecond
+)
 
 // Ready accepts what is waiting.
 func (n *Listener) Ready(Ready) { n.batch() }
 
-// AcceptAll accepts all that waits, before Close: what waits then is reset.
-func (n *Listener) AcceptAll() {
+// AcceptAll accepts all that waits, before Close: what waits then is reset. It returns false if something may still wait, for want of
+// descriptors or memory, and is to be called again soon.
+func (n *Listener) AcceptAll() bool {
 	for range acceptMost {
-		if !n.batch() {
-			return
+		if err := n.batch(); err != nil {
+			return errors.Is(err, ErrAgain)
 		}
 	}
+	return false
 }
 
-// acceptMost bounds the batches of AcceptAll, in case connections come as fast as they are accepted: more than the kernel's queue.
-const acceptMost = 256
-
-// batch accepts up to acceptBatch connections, and tells whether more may wait.
-func (n *Listener) batch() bool {
-	loop := n.sock.loop
+// batch accepts up to acceptBatch connections. It returns why it stopped: ErrAgain if none waits, nil if more may.
+func (n *Listener) batch() error {
 	for range acceptBatch {
 		if n.sock.fd < 0 {
-			return false
-		}
-		fd, err := loop.kernel.Accept(n.sock.fd)
-		last := errors.Is(err, ErrDescriptors)
-		if last {
-			n.unhoard()
-			fd, err = loop.kernel.Accept(n.sock.fd)
+			return ErrAgain
 		}
-		if errors.Is(err, ErrAborted) {
-			continue
-		}
-		if err == nil {
-			if s, addErr := loop.add(fd, nil, WantRead); addErr == nil {
-				s.handler = n.accept(s, last)
-			}
-		}
-		if last && n.sock.fd >= 0 {
-			n.hoard()
-		}
-		if errors.Is(err, ErrDescriptors) {
-			// Not even the reserve's place was left, as when the limit was lowered or the whole machine is out: the
-			// listener stays ready, and a loop that looks again at once would do nothing else.
-			n.sock.Want(false, false)
-			loop.After(&n.retry, shortageRest)
-		}
-		if err != nil {
-			return false
+		err := n.acceptOne()
+		switch {
+		case err == nil || errors.Is(err, ErrAborted):
+		case errors.Is(err, ErrAgain):
+			n.shortSince = time.Time{}
+			return err
+		default:
+			n.rest()
+			return err
 		}
 	}
-	return true
+	return nil
+}
+
+// acceptOne accepts the next connection, in the reserve's place if there is no other.
+func (n *Listener) acceptOne() error {
+	loop := n.sock.loop
+	fd, err := loop.kernel.Accept(n.sock.fd)
+	if err == nil {
+		n.shortSince = time.Time{}
+		n.takeReserve()
+		n.take(fd, false)
+		return nil
+	}
+	if !errors.Is(err, ErrDescriptors) && !n.shortForLong(err) {
+		return err
+	}
+	n.releaseReserve()
+	if fd, err = loop.kernel.Accept(n.sock.fd); err == nil {
+		n.take(fd, true)
+	}
+	n.takeReserve()
+	return err
+}
+
+// shortForLong tells whether an error of accept is a shortage of the machine that has lasted.
+func (n *Listener) shortForLong(err error) bool {
+	if !errors.Is(err, ErrShortage) {
+		return false
+	}
+	now := n.sock.loop.Now()
+	if n.shortSince.IsZero() {
+		n.shortSince = now
+	}
+	return now.Sub(n.shortSince) >= shortageMost
+}
+
+func (n *Listener) take(fd int, last bool) {
+	s := n.sock.loop.add(fd, nil, WantRead)
+	s.handler = n.accept(s, last)
+}
+
+// rest accepts nothing for a while.
+func (n *Listener) rest() {
+	n.sock.Want(false, false)
+	n.sock.loop.After(&n.retry, shortageRest)
 }
 
 // Addr is the address at which it listens.
@@ -118,7 +154,7 @@
 
 // Close stops listening.
 func (n *Listener) Close() {
-	n.unhoard()
+	n.releaseReserve()
 	if n.sock.fd >= 0 {
 		n.sock.loop.Disarm(&n.retry)
 	}
--- a/internal/poll/packet.go
+++ b/internal/poll/packet.go
@@ -15,11 +15,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("udp at %s: %w", at, err)
 	}
-	s, err := l.add(fd, h, WantRead)
-	if err != nil {
-		return nil, err
-	}
-	return &Packets{s}, nil
+	return &Packets{l.add(fd, h, WantRead)}, nil
 }
 
 // Receive takes one datagram, of which what does not fit into p is lost; ErrAgain if none waits.
--- a/internal/poll/socket.go
+++ b/internal/poll/socket.go
@@ -15,6 +15,8 @@
 	want    Interest
 	handler Handler
 	urgent  bool
+	watched bool // the kernel watches it
+	behind  bool // for something else than it wants, see Loop.watch
 }
 
 // Dial starts a connection. It is up, or has failed, once it is ready for writing: Established tells which.
@@ -23,7 +25,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", to, err)
 	}
-	return l.add(fd, h, WantWrite)
+	return l.add(fd, h, WantWrite), nil
 }
 
 // Established tells how a Dial ended.
@@ -54,7 +56,16 @@
 		return
 	}
 	s.want = want
-	s.loop.kernel.Rewatch(s.fd, want, s.slot, s.loop.slots[s.slot].gen)
+	s.loop.watch(s)
+}
+
+// tell hands an event to the handler. The kernel may still watch the socket for what it does not want any more.
+func (s *Socket) tell(r Ready) {
+	if s.behind && !r.Hangup {
+		r.Read = r.Read && s.want&WantRead != 0
+		r.Write = r.Write && s.want&WantWrite != 0
+	}
+	s.handler.Ready(r)
 }
 
 // Read reads what is there: ErrAgain if nothing is, io.EOF once the other side has ended its sending.
--- a/internal/proxy/descriptors.go
+++ b/internal/proxy/descriptors.go
@@ -71,7 +71,7 @@
 	if now := f.loop.Now(); !now.Equal(f.pending.at) {
 		f.pending = pendingAttempts{at: now}
 		for _, s := range f.sessions {
-			if s.state == waiting && s.hop == nil {
+			if s.state == waiting && (s.hop == nil || s.hop.link.sock == nil) {
 				f.pending.n++
 			}
 		}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -67,7 +67,11 @@
 	if !d.shut && (now.Sub(d.begin) > lateClients && f.idle() || now.After(d.shutBy())) {
 		f.shut()
 	}
-	if d.shut && len(f.sessions) == 0 || now.After(d.kill.Add(-ends)) {
+	if d.shut && !f.listener.Closed() {
+		f.closeListener()
+	}
+	if over := now.After(d.kill.Add(-ends)); over || d.shut && f.listener.Closed() && len(f.sessions) == 0 {
+		f.listener.Close()
 		f.cutOff()
 		d.done()
 		return
@@ -98,13 +102,19 @@
 	return true
 }
 
-// shut takes what waits to be accepted, closes the listener and ends the connections that have not asked for anything. A request
-// counts as taken once its last byte is written to a connection that the machine has accepted: each one that is there is read
-// and refused, and one that is still on its way finds its refusal.
+// shut takes nothing any more: each request that is there is read and refused, and one that is still on its way finds its refusal.
 func (f *Lines) shut() {
 	f.drain.shut = true
-	f.listener.AcceptAll()
-	f.listener.Close()
+	f.closeListener()
+}
+
+// closeListener takes what waits to be accepted, closes the listener and ends the connections that have not asked for anything. A
+// request counts as taken once its last byte is written to a connection that the machine has accepted. The listener stays open
+// while there are no descriptors, or no memory, for what may still wait there.
+func (f *Lines) closeListener() {
+	if f.listener.AcceptAll() {
+		f.listener.Close()
+	}
 	for _, s := range slices.Clone(f.sessions) { // those that end leave the table
 		if s.state == opening {
 			s.read()
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -14,7 +14,7 @@
 type hopState uint8
 
 const (
-	hopDialing hopState = iota // nothing of the request is written
+	hopDialing hopState = iota // nothing of the request is written; there may be no socket yet
 	hopSending                 // a part of it is
 	hopAsking                  // all of it is: it may have run
 	hopStanding
@@ -29,6 +29,7 @@
 	link  link
 	state hopState
 	until time.Time // the target's word is awaited until then
+	dial  time.Time // the connection has to be up by then
 	timer poll.Timer
 	// While it stands:
 	asked time.Time // the client's line that waits for the target's; zero: none
@@ -38,23 +39,38 @@
 	said  bool // the target has said how the connection ends
 }
 
+// redialAfter is how long a connection waits that this machine could not begin for want of memory, ports or a path.
+const redialAfter = 10 * time.Millisecond
+
 func (s *session) startHop(to *routes.Target, wait time.Duration) {
 	f := s.front
-	h := &hop{s: s, peer: f.peer(to), until: f.loop.Now().Add(wait)}
+	now := f.loop.Now()
+	h := &hop{s: s, peer: f.peer(to), until: now.Add(wait), dial: now.Add(min(wait, f.set.DialTimeout))}
 	h.timer.Fire = h.due
+	s.hop = h
+	h.connect()
+}
+
+// connect begins the connection. What this machine lacks for it may be there a moment later: an attempt that ended at once would
+// be followed by all others of its request in the same moment.
+func (h *hop) connect() {
+	f := h.s.front
 	if !f.makeRoom(keptFromAttempts + 1) {
-		s.x.Ended(balance.NotSent, noReport)
+		h.over(balance.NotSent, noReport)
 		return
 	}
-	sock, err := f.loop.Dial(to.Addr, h)
-	if err != nil {
-		s.x.Ended(dialOutcome(err), noReport)
-		return
+	sock, err := f.loop.Dial(h.peer.to.Addr, h)
+	again := f.loop.Now().Add(redialAfter)
+	switch {
+	case err == nil:
+		h.link.sock = sock
+		f.pending.add(-1)
+		f.loop.Arm(&h.timer, h.dial)
+	case (errors.Is(err, poll.ErrNoSocket) || errors.Is(err, poll.ErrNoPath)) && again.Before(h.dial):
+		f.loop.Arm(&h.timer, again)
+	default:
+		h.over(dialOutcome(err), noReport)
 	}
-	h.link.sock = sock
-	s.hop = h
-	f.pending.add(-1)
-	f.loop.After(&h.timer, min(wait, f.set.DialTimeout))
 }
 
 // dialOutcome is what a connection that could not even be begun tells of its target: nothing, if the shortage
@@ -232,7 +248,13 @@
 // due is called by the timer.
 func (h *hop) due() {
 	switch h.state {
-	case hopDialing, hopSending:
+	case hopDialing:
+		if h.link.sock == nil {
+			h.connect()
+			return
+		}
+		h.over(balance.NoConnect, noReport)
+	case hopSending:
 		h.over(balance.NoConnect, noReport)
 	case hopAsking:
 		if h.read(); h.state == hopAsking { // its word may lie there: a turn takes so many events and no more
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"errors"
 	"time"
 
 	"ospreyspan/balance"
@@ -113,7 +114,11 @@
 	}
 	sock, err := p.front.loop.Dial(p.to.Addr, p)
 	if err != nil {
-		p.front.engine.Probed(p.id, dialOutcome(err), noReport)
+		o := dialOutcome(err)
+		if errors.Is(err, poll.ErrNoPath) {
+			o = balance.NotSent // a moment's fault of this machine's routes is no word on the target; attempts try for longer
+		}
+		p.front.engine.Probed(p.id, o, noReport)
 		return
 	}
 	p.link.sock, p.state = sock, probeDialing
--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -29,6 +29,10 @@
 	// Where lists are pushed, what discovery has counts as told whether or not it was asked, and the rules leave 0.5 s: it is tried
 	// at short intervals, as nobody else's calls are in the way. One try and one pause are over in 0.45 s at the most.
 	pushedDial = 300 * time.Millisecond
+	// ownFaultRetry is the mean pause after a call that this machine could not begin, for want of memory, a port or a path: such
+	// moments are short, and the lease of the list runs on. After ownFaultTries of them in a row the usual pauses hold.
+	ownFaultRetry = 50 * time.Millisecond
+	ownFaultTries = 20
 	// A new address counts as having told all its news 4 s after it was given, reached or not: for so long the
 	// pauses between tries don't grow.
 	hurryFor = 4 * time.Second
@@ -369,7 +373,8 @@
 // fail ends a call that brought no list and has the next one made after a pause, which is short whenever the list's lease is
 // about to end: there is no call that makes up for one that comes late.
 func (w *Watch) fail(err error) {
-	if busy, silent := errors.Is(err, ErrBusy), errors.Is(err, errSilent) && len(w.in) == 0; !busy && !silent {
+	busy, silent := errors.Is(err, ErrBusy), errors.Is(err, errSilent) && len(w.in) == 0
+	if !busy && !silent && !ownFault(err) {
 		// What answers next may be another process, whose versions don't continue those that are known.
 		w.seq = FromNothing
 	}
@@ -381,10 +386,17 @@
 	w.news(nil, err)
 }
 
+// ownFault tells whether a call failed since this machine could not begin a connection, which says nothing of discovery.
+func ownFault(err error) bool {
+	return errors.Is(err, poll.ErrNoSocket) || errors.Is(err, poll.ErrNoPath)
+}
+
 // pauseAfter draws the pause after a call that failed.
 func (w *Watch) pauseAfter(err error) time.Duration {
 	silent := errors.Is(err, errSilent) || errors.Is(err, errHalf)
 	switch {
+	case ownFault(err) && w.tries < ownFaultTries:
+		return w.pace.around(ownFaultRetry)
 	case silent && w.tries < 2:
 		return 0 // the watch is opened anew at once: what it may have missed counts as told soon
 	case w.pushed:
--- a/internal/vnet/kernel.go
+++ b/internal/vnet/kernel.go
@@ -230,11 +230,14 @@
 	return nil
 }
 
-func (k *kernel) Rewatch(fd int, want poll.Interest, _, _ int32) {
-	if f := k.file(fd); f != nil {
-		f.watch().want = want
-		f.watch().stir(f)
+func (k *kernel) Rewatch(fd int, want poll.Interest, _, _ int32) error {
+	f := k.file(fd)
+	if f == nil {
+		return unix.EBADF
 	}
+	f.watch().want = want
+	f.watch().stir(f)
+	return nil
 }
 
 func (k *kernel) Read(fd int, p []byte) (int, error) {
