--- a/cmd/ospreyspan/bed_test.go
+++ b/cmd/ospreyspan/bed_test.go
@@ -151,9 +151,17 @@
 	lock    sync.Mutex
 	servers []*testServer
 	version int
+	asked   int
 	changed chan struct{}
 }
 
+// calls is how many calls there have been.
+func (d *testDiscovery) calls() int {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.asked
+}
+
 func newTestDiscovery(t *testing.T, servers []*testServer) *testDiscovery {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -191,6 +199,7 @@
 
 func (d *testDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.lock.Lock()
+	d.asked++
 	known, changed := r.FormValue("index") == fmt.Sprint(d.version), d.changed
 	d.lock.Unlock()
 	if known {
--- a/cmd/ospreyspan/descriptors_test.go
+++ b/cmd/ospreyspan/descriptors_test.go
@@ -26,6 +26,8 @@
 	t    *testing.T
 	cmd  *exec.Cmd
 	at   string // where it listens
+	// config is the file with its configuration, which a test may replace.
+	config string
 	lock sync.Mutex
 	log  bytes.Buffer
 }
@@ -75,7 +77,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fifo := filepath.Join(t.TempDir(), "config.json")
+	p.config = filepath.Join(t.TempDir(), "config.json")
+	fifo := p.config
 	if err := unix.Mkfifo(fifo, 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -100,6 +103,12 @@
 		t.Fatal(err)
 	}
 	w.Close()
+	if err := os.Remove(fifo); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(p.config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
 	for begin := time.Now(); !strings.Contains(p.logged(), "serving at"); time.Sleep(5 * time.Millisecond) {
 		if time.Since(begin) > 10*time.Second {
 			t.Fatalf("it does not serve\n%s", p.logged())
--- a/cmd/ospreyspan/signals_test.go
+++ b/cmd/ospreyspan/signals_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -34,9 +35,26 @@
 }
 
 // A signal that comes while the program still reads its configuration does not end the process: SIGTERM is a planned stop, which
-// ends in order with exit code 0, and SIGHUP and SIGUSR1 are waited with. The program is held at that point: its configuration is
-// a FIFO, which opens for writing once it is being read.
+// ends in order with exit code 0, and SIGHUP and SIGUSR1 are waited with, however many come before it. The program is held at that
+// point: its configuration is a FIFO, which opens for writing once it is being read.
 func TestSignalsBeforeItServes(t *testing.T) {
+	for name, series := range map[string][]os.Signal{
+		"USR1 TERM":            {syscall.SIGUSR1, syscall.SIGTERM},
+		"TERM TERM":            {syscall.SIGTERM, syscall.SIGTERM},
+		"INT":                  {syscall.SIGINT},
+		"many USR1 and a TERM": append(slices.Repeat([]os.Signal{syscall.SIGUSR1}, 20), syscall.SIGTERM),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			signalsBeforeItServes(t, series)
+		})
+	}
+}
+
+// betweenSignals is long enough for each signal of a series to reach the program by itself.
+const betweenSignals = 5 * time.Millisecond
+
+func signalsBeforeItServes(t *testing.T, series []os.Signal) {
 	fifo := filepath.Join(t.TempDir(), "config.json")
 	if err := syscall.Mkfifo(fifo, 0o600); err != nil {
 		t.Fatal(err)
@@ -61,10 +79,11 @@
 	}()
 	select {
 	case w := <-opened:
-		for _, sig := range []os.Signal{syscall.SIGUSR1, syscall.SIGTERM} {
+		for _, sig := range series {
 			if err := program.Process.Signal(sig); err != nil {
 				t.Fatal(err)
 			}
+			time.Sleep(betweenSignals)
 		}
 		text := regexp.MustCompile(`"HardLimitUs": \d+`).ReplaceAllString(example(t), `"HardLimitUs": 100000`)
 		_, _ = w.WriteString(text) // fails where the process has ended, which is told below
