--- a/cmd/ospreyspan/descriptors_test.go
+++ b/cmd/ospreyspan/descriptors_test.go
@@ -23,13 +23,13 @@
 
 // process is the program in a process of its own.
 type process struct {
-	t    *testing.T
-	cmd  *exec.Cmd
-	at   string // where it listens
+	t   *testing.T
+	cmd *exec.Cmd
+	at  string // where it listens
 	// config is the file with its configuration, which a test may replace.
 	config string
-	lock sync.Mutex
-	log  bytes.Buffer
+	lock   sync.Mutex
+	log    bytes.Buffer
 }
 
 // Write takes the program's log.
