--- a/cmd/ospreyspan/bed_test.go
+++ b/cmd/ospreyspan/bed_test.go
@@ -188,6 +188,14 @@
 	return fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[%s]}`, d.version, strings.Join(hosts, ","))
 }
 
+// add has the list name another server.
+func (d *testDiscovery) add(s *testServer) {
+	d.lock.Lock()
+	d.servers = append(d.servers, s)
+	d.lock.Unlock()
+	d.change()
+}
+
 // change tells all watches of what has changed in the servers.
 func (d *testDiscovery) change() {
 	d.lock.Lock()
--- a/internal/poll/callfaults/callfaults.go
+++ b/internal/poll/callfaults/callfaults.go
@@ -53,8 +53,15 @@
 
 // Plan is what goes wrong in a process.
 type Plan struct {
-	Seed   uint64  `json:"seed"`
-	Faults []Fault `json:"faults"`
+	Seed   uint64     `json:"seed"`
+	Faults []Fault    `json:"faults"`
+	Steps  []WallStep `json:"steps"`
+}
+
+// WallStep is a step of the wall clock, forward or back, so long after the plan came into force.
+type WallStep struct {
+	After time.Duration `json:"after"`
+	By    time.Duration `json:"by"`
 }
 
 // state is a plan in use. Like the loop that makes the calls it belongs to one goroutine.
@@ -130,6 +137,16 @@
 		}
 		return under.EpollWait(epfd, events, milliseconds)
 	}
+	begun := time.Now()
+	calls.Wall = func() time.Time {
+		now := under.Wall()
+		for _, step := range p.Steps {
+			if time.Since(begun) >= step.After {
+				now = now.Add(step.By)
+			}
+		}
+		return now
+	}
 	calls.Read = func(fd int, p []byte) (int, error) { return s.read(under, fd, p) }
 	calls.Send = func(fd int, p []byte) (int, error) { return s.send(under, fd, p) }
 	calls.OpenFile = func(path string, flags int, mode uint32) (int, error) {
--- a/internal/poll/epoll.go
+++ b/internal/poll/epoll.go
@@ -36,8 +36,11 @@
 	return &epoll{calls: calls, epfd: epfd, wakefd: wakefd}, nil
 }
 
+// Now is read by the monotonic clock, which package time keeps beside the wall clock: spans between two such times are of that one.
 func (k *epoll) Now() time.Time { return time.Now() }
 
+func (k *epoll) Wall() time.Time { return k.calls.Wall() }
+
 func (k *epoll) Close() {
 	unix.Close(k.wakefd)
 	unix.Close(k.epfd)
--- a/internal/poll/loop.go
+++ b/internal/poll/loop.go
@@ -69,6 +69,9 @@
 // Now is the time at which the turn began.
 func (l *Loop) Now() time.Time { return l.now }
 
+// Wall is the machine's wall clock now; see Kernel.
+func (l *Loop) Wall() time.Time { return l.kernel.Wall() }
+
 // Refresh reads the clock anew and returns it: the process may have been stopped since the turn began, and what it reads now may have
 // been sent meanwhile. Whoever answers for the age of something reads the clock after the question.
 func (l *Loop) Refresh() time.Time {
--- a/internal/poll/syscalls.go
+++ b/internal/poll/syscalls.go
@@ -1,6 +1,10 @@
 package poll
 
-import "golang.org/x/sys/unix"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // SystemCalls are the calls of Linux that the epoll kernel makes and that may fail for a moment though nothing is wrong with the
 // program. A test replaces some of them to make them fail as their manual pages say.
@@ -16,6 +20,8 @@
 	Send         func(fd int, p []byte) (int, error)
 	OpenFile     func(path string, flags int, mode uint32) (int, error)
 	Close        func(fd int) error
+	// Wall is the machine's wall clock, which may be stepped.
+	Wall func() time.Time
 }
 
 // LinuxCalls returns the calls themselves.
@@ -34,5 +40,6 @@
 		},
 		OpenFile: unix.Open,
 		Close:    unix.Close,
+		Wall:     func() time.Time { return time.Now().Round(0) },
 	}
 }
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -44,6 +44,7 @@
 	set       *settings.Settings
 	module    *balance.Balancer
 	table     routes.Table
+	births    *routes.Births
 	watch     *routes.Watch
 	prober    Prober
 	count     *stats.Counters
@@ -113,6 +114,8 @@
 	})
 	e.startedAt = e.loop.Now()
 	module.Start(e.startedAt)
+	e.births = routes.NewBirths(e.loop.Wall)
+	e.births.Mark(c.Known, e.startedAt, time.Time{})
 	e.table.Merge(c.Known)
 	e.push(event{kind: evList, list: balance.ListStale, entries: backends(c.Known.Hosts)})
 	if pushed && c.Discovery.IsValid() {
@@ -321,7 +324,7 @@
 		}
 	}
 	e.count.Aged(e.loop.Now().Sub(known))
-	if born := to.Born(); !born.IsZero() && e.loop.Now().Sub(born) < e.set.Config.Rules.WarmWithin {
+	if !to.Boot.IsZero() && e.loop.Now().Sub(to.Boot) < e.set.Config.Rules.WarmWithin {
 		e.count.HopsCold++
 	}
 	x.client.Hop(to, wait)
@@ -363,11 +366,13 @@
 	if e.broken {
 		e.log.Printf("discovery: answers again")
 	}
+	before := e.heardAt
 	e.broken, e.heardAt = false, e.loop.Now()
 	e.resumeSends(true)
 	if l.Seq < e.newest {
 		return // it was on its way while another process passed a later one on
 	}
+	e.births.Mark(l, e.heardAt, before)
 	e.take(l)
 	if e.onNews != nil {
 		e.onNews()
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -45,18 +45,11 @@
 	Block  int            `json:"block"`
 	Health Health         `json:"health"`
 	Share  float64        `json:"share"`
-	BornMS int64          `json:"born_ms"`
+	BornMS int64          `json:"born_ms"` // its last start in Unix time, ms; 0 or less: long ago
+	Boot   time.Time      `json:"-"`       // the same by the loop's clock, see Births; zero: long ago
 	entry  int            // counts the entries; one that changes keeps its number
 }
 
-// Born is the target's last start; zero means long ago.
-func (t *Target) Born() time.Time {
-	if t.BornMS <= 0 {
-		return time.Time{}
-	}
-	return time.UnixMilli(t.BornMS)
-}
-
 // Same tells whether two are the same entry of the table, at different times: it has not left the table in between.
 func (t *Target) Same(o *Target) bool { return t.ID == o.ID && t.entry == o.entry }
 
--- a/internal/vnet/host.go
+++ b/internal/vnet/host.go
@@ -41,6 +41,7 @@
 
 	disks     map[string]*Disk
 	diskOrder []*Disk
+	wallStep  time.Duration // of its wall clock against real time
 	stallSend time.Duration // its next datagram waits for so long, and the process with it
 	latePart  float64       // see LateConnects
 	lateMost  time.Duration
@@ -258,6 +259,9 @@
 	}
 }
 
+// StepWall steps the machine's wall clock, forward or back; its process's spans of time go on as before.
+func (h *Host) StepWall(d time.Duration) { h.wallStep += d }
+
 // ClockNow is what the process's clock shows, whether it runs or is stopped.
 func (h *Host) ClockNow() time.Time {
 	if h.kernel == nil {
--- a/internal/vnet/kernel.go
+++ b/internal/vnet/kernel.go
@@ -32,6 +32,8 @@
 
 func (k *kernel) over() bool { return k.life != k.host.life }
 
+func (k *kernel) Wall() time.Time { return k.Now().Add(k.host.wallStep) }
+
 func (k *kernel) Now() time.Time {
 	k.read = max(k.read, k.clock())
 	return epoch.Add(k.read)
