--- a/internal/keeper/file.go
+++ b/internal/keeper/file.go
@@ -19,12 +19,37 @@
 type File struct {
 	dir      string
 	lock     *os.File
-	file     *os.File
+	file     logFile
+	system   fileSystem
 	jobs     chan writeJob
 	post     func(func())
 	finished chan struct{}
 }
 
+// logFile is an open file that is written and synced.
+type logFile interface {
+	Write(p []byte) (int, error)
+	Sync() error
+	Close() error
+}
+
+// fileSystem is what a File needs of the disk; a test has it fail.
+type fileSystem struct {
+	create  func(path string) (logFile, error) // empty
+	rename  func(from, to string) error
+	syncDir func(path string) error
+}
+
+func realFileSystem() fileSystem {
+	return fileSystem{
+		create: func(path string) (logFile, error) {
+			return os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC|os.O_APPEND, 0o600)
+		},
+		rename:  os.Rename,
+		syncDir: syncDir,
+	}
+}
+
 // writeJob is a write that waits for its turn.
 type writeJob struct {
 	data    []byte
@@ -75,7 +100,7 @@
 		lock.Close()
 		return nil, nil, err
 	}
-	w := &File{dir: dir, lock: lock, file: file, jobs: make(chan writeJob, 64), post: post, finished: make(chan struct{})}
+	w := &File{dir: dir, lock: lock, file: file, system: realFileSystem(), jobs: make(chan writeJob, 64), post: post, finished: make(chan struct{})}
 	go w.run()
 	return w, restored, nil
 }
@@ -149,13 +174,13 @@
 	if _, err := w.file.Write(j.data); err != nil {
 		return err
 	}
-	return unix.Fdatasync(int(w.file.Fd()))
+	return w.file.Sync()
 }
 
 // replace writes a new file and puts it in the log's place once it is on disk.
 func (w *File) replace(data []byte) error {
 	path := filepath.Join(w.dir, tmpName)
-	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC|os.O_APPEND, 0o600)
+	file, err := w.system.create(path)
 	if err != nil {
 		return err
 	}
@@ -169,15 +194,15 @@
 }
 
 // install writes a file and renames it to the log's name; each step is on disk before the next one.
-func (w *File) install(file *os.File, path string, data []byte) error {
+func (w *File) install(file logFile, path string, data []byte) error {
 	if _, err := file.Write(data); err != nil {
 		return err
 	}
 	if err := file.Sync(); err != nil {
 		return err
 	}
-	if err := os.Rename(path, logPath(w.dir)); err != nil {
+	if err := w.system.rename(path, logPath(w.dir)); err != nil {
 		return err
 	}
-	return syncDir(w.dir)
+	return w.system.syncDir(w.dir)
 }
