A keeper's log goes on after a disk that refused for a while

After a failed write or sync keeper.File writes a new file with all that is on disk for certain and what is owed, and puts it in the log's place, again and again until the disk bears it; the write is not reported before (File.carryOut). The argument against writing on in the old file (pages may be dropped) holds as before. SIGXFSZ is ignored: a file that may not grow is an error of the write.

--- a/cmd/ospreyspan/signals.go
+++ b/cmd/ospreyspan/signals.go
@@ -24,7 +24,8 @@
 		prints:  caught(syscall.SIGUSR1),
 		reloads: caught(syscall.SIGHUP),
 	}
-	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to end
+	// A log that nobody reads any more is no reason to end, nor is a file that may not grow: writes tell both by an error.
+	signal.Ignore(syscall.SIGPIPE, syscall.SIGXFSZ)
 	return s
 }
 
--- a/internal/keeper/file.go
+++ b/internal/keeper/file.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -21,8 +23,11 @@
 	lock     *os.File
 	file     logFile
 	system   fileSystem
+	text     []byte // what is on disk for certain
+	doubtful bool   // a write has failed since: what the file holds behind that text, or in its place, is not known
 	jobs     chan writeJob
 	post     func(func())
+	closing  chan struct{}
 	finished chan struct{}
 }
 
@@ -95,40 +100,41 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("keeper: %w", err)
 	}
-	file, restored, err := open(path, lock)
+	file, text, restored, err := open(path, lock)
 	if err != nil {
 		lock.Close()
 		return nil, nil, err
 	}
-	w := &File{dir: dir, lock: lock, file: file, system: realFileSystem(), jobs: make(chan writeJob, 64), post: post, finished: make(chan struct{})}
+	w := &File{dir: dir, lock: lock, file: file, system: realFileSystem(), text: text, jobs: make(chan writeJob, 64), post: post,
+		closing: make(chan struct{}), finished: make(chan struct{})}
 	go w.run()
 	return w, restored, nil
 }
 
-func open(path string, lock *os.File) (*os.File, *Restored, error) {
+func open(path string, lock *os.File) (*os.File, []byte, *Restored, error) {
 	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
-		return nil, nil, fmt.Errorf("keeper: %s: another process has it: %w", path, err)
+		return nil, nil, nil, fmt.Errorf("keeper: %s: another process has it: %w", path, err)
 	}
 	text, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil, fmt.Errorf("%w at %s", ErrEmpty, path)
+		return nil, nil, nil, fmt.Errorf("%w at %s", ErrEmpty, path)
 	}
 	if err != nil {
-		return nil, nil, fmt.Errorf("keeper: %w", err)
+		return nil, nil, nil, fmt.Errorf("keeper: %w", err)
 	}
 	restored, err := Restore(text)
 	if err != nil {
-		return nil, nil, fmt.Errorf("%s: %w", path, err)
+		return nil, nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
 	f, err := os.OpenFile(path, os.O_RDWR|os.O_APPEND, 0o600)
 	if err != nil {
-		return nil, nil, fmt.Errorf("keeper: %w", err)
+		return nil, nil, nil, fmt.Errorf("keeper: %w", err)
 	}
 	if err := truncateAt(f, int64(restored.ValidBytes)); err != nil {
 		f.Close()
-		return nil, nil, fmt.Errorf("keeper: %s: the torn end can't be cut off: %w", path, err)
+		return nil, nil, nil, fmt.Errorf("keeper: %s: the torn end can't be cut off: %w", path, err)
 	}
-	return f, restored, nil
+	return f, text[:restored.ValidBytes], restored, nil
 }
 
 // truncateAt cuts a file off behind its first size bytes and syncs that.
@@ -145,28 +151,59 @@
 // Replace puts a log in this one's place, all of it or nothing; done is called by post.
 func (w *File) Replace(b []byte, done func(error)) { w.jobs <- writeJob{b, true, done} }
 
-// Close waits for the writes that were begun and closes the file and the lock.
+// Close waits for the writes that were begun and closes the file and the lock. A write that the disk refuses is not waited for.
 func (w *File) Close() {
+	close(w.closing)
 	close(w.jobs)
 	<-w.finished
 }
 
+const (
+	// A disk that refuses is tried again after refusedPause, which doubles up to refusedMost.
+	refusedPause = 50 * time.Millisecond
+	refusedMost  = 2 * time.Second
+)
+
 // run writes until Close.
 func (w *File) run() {
 	defer close(w.finished)
-	var failed error
 	for j := range w.jobs {
-		// After a failed sync the kernel may have dropped the pages and call the next sync good: nothing more is written.
-		if failed == nil {
-			failed = w.write(j)
-		}
-		err := failed
+		err := w.carryOut(j)
 		w.post(func() { j.done(err) })
 	}
 	w.file.Close()
 	w.lock.Close()
 }
 
+// carryOut carries a write out, however long the disk refuses. After a failed write nobody knows what the file holds, and after a failed
+// sync the kernel may have dropped pages and call the next sync good. So nothing more is written to that file: a new one with all that
+// is owed takes its place. Until that is on disk the write is not done, and whoever waits for it is not answered.
+func (w *File) carryOut(j writeJob) error {
+	text := j.data
+	if !j.replace {
+		text = append(slices.Clip(w.text), j.data...)
+	}
+	var err error
+	if !w.doubtful {
+		if err = w.write(j); err == nil {
+			w.text = text
+			return nil
+		}
+		w.doubtful = true
+	}
+	for pause := refusedPause; ; pause = min(2*pause, refusedMost) {
+		if err = w.replace(text); err == nil {
+			w.doubtful, w.text = false, text
+			return nil
+		}
+		select {
+		case <-time.After(pause):
+		case <-w.closing:
+			return err
+		}
+	}
+}
+
 func (w *File) write(j writeJob) error {
 	if j.replace {
 		return w.replace(j.data)
--- a/internal/lab/owners/hard_test.go
+++ b/internal/lab/owners/hard_test.go
@@ -198,6 +198,35 @@
 	r.must(t, 0)
 }
 
+// The leader's disk refuses for a while and bears again: the others go on without it meanwhile, and it takes part again as the same
+// process.
+func TestDiskRefusesForAWhile(t *testing.T) {
+	r := hard(t, 7, 3)
+	var x *member
+	for _, m := range r.members {
+		if m.node.Keeper() != nil && m.node.Keeper().Leading() {
+			x = m
+		}
+	}
+	d := x.host.Disk("keeper")
+	f := d.Faults()
+	f.Refuses = true
+	d.SetFaults(f)
+	r.must(t, 10*time.Second)
+	if x.node.Keeper().Stopped() != nil || x.node.Keeper().Leading() || r.owner() == nil {
+		t.Fatalf("the keeper whose disk refuses: ended %v, leads %v; owner %v", x.node.Keeper().Stopped(), x.node.Keeper().Leading(), r.owner())
+	}
+	before := x.node.Keeper().State().Applied
+	f.Refuses = false
+	d.SetFaults(f)
+	r.must(t, 10*time.Second)
+	if k := x.node.Keeper(); k.Stopped() != nil || k.Leader() == 0 || k.State().Applied <= before {
+		t.Errorf("it does not take part again: ended %v, leader %d, applied %d, %d before", k.Stopped(), k.Leader(), k.State().Applied, before)
+	}
+	r.settled()
+	r.must(t, 0)
+}
+
 // A keeper's disk is full, at the leader: it ends, the others go on without it, and it comes back once there is room.
 func TestFullDisk(t *testing.T) {
 	r := hard(t, 7, 3)
--- a/internal/vnet/disk.go
+++ b/internal/vnet/disk.go
@@ -31,6 +31,7 @@
 	Torn          float64       // part of the kills that leave a part of an unsynced write, 0 to 1
 	Scrambled     float64       // part of these in which an earlier part of the write is missing, and a later one there
 	FailSync      bool          // each sync fails from now on
+	Refuses       bool          // nothing is written for now: writes wait, as keeper.File has them wait, until this is over
 	Full          int           // bytes that it holds at the most; 0: without end
 }
 
@@ -100,7 +101,19 @@
 	})
 }
 
+// refusedPause is how often a write is tried again on a disk that refuses.
+const refusedPause = 100 * time.Millisecond
+
 func (d *Disk) finish() {
+	if d.faults.Refuses {
+		life := d.host.life
+		d.host.world.After(refusedPause, func() {
+			if life == d.host.life {
+				d.finish()
+			}
+		})
+		return
+	}
 	w := d.queue[0]
 	d.queue = d.queue[1:]
 	d.busy = false
