--- a/cmd/ospreyspan/bed_test.go
+++ b/cmd/ospreyspan/bed_test.go
@@ -65,15 +65,16 @@
 	lock     sync.Mutex
 	bornMS   int64
 	health   string
-	answer   func(id string) string // to a request; empty: none at all
+	hung     bool // it answers nothing any more, whatever it is sent
 	attempts []attempt
 }
 
 // attempt is a request's line as a server received it.
 type attempt struct {
 	id    string
+	class string
 	at    time.Time
-	ended time.Time // its end by the proxy, or its answer other than UP
+	ended time.Time // its end by the proxy
 }
 
 func newTestServer(t *testing.T, name string) *testServer {
@@ -108,19 +109,14 @@
 			reply := "UP " + s.name
 			s.lock.Lock()
 			mine = len(s.attempts)
-			s.attempts = append(s.attempts, attempt{id: id, at: time.Now()})
-			if s.answer != nil {
-				reply = s.answer(id)
-			}
+			open, _ := line.ParseOpen([]byte(text))
+			s.attempts = append(s.attempts, attempt{id: id, class: open.Class, at: time.Now()})
+			hung := s.hung
 			s.lock.Unlock()
-			if reply == "" {
-				continue
-			}
-			fmt.Fprint(c, reply+"\r\n")
-			if !strings.HasPrefix(reply, "UP ") {
-				s.end(mine)
-				return
+			if !hung {
+				fmt.Fprint(c, reply+"\r\n")
 			}
+		case s.hangs():
 		case text == "STATS":
 			fmt.Fprint(c, "PONG cpu=0.1,x0=0.1,rps=1\r\n")
 		default:
@@ -132,6 +128,19 @@
 	}
 }
 
+// hang has the server answer nothing any more.
+func (s *testServer) hang() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.hung = true
+}
+
+func (s *testServer) hangs() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.hung
+}
+
 func (s *testServer) end(i int) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
