Drains that a crowded discovery does not tell: played, and requests reach the server

While discovery refused all calls for longer than a change may stay unknown, an attempt began at any server that had answered a probe within the last second (Engine.trusts).

--- a/internal/lab/coldbudget.go
+++ b/internal/lab/coldbudget.go
@@ -9,8 +9,8 @@
 )
 
 // coldBudget counts what all proxies together send to servers that are cold. A server falls when it gets more than
-// N + 2√N + 2 requests of mean work within the settings' time, N being what the settings allow it then: their multiple of its
-// present capacity in that time. A fall breaks the rule if over two thirds of it came from proxies that were told of the start.
+// N + 2√N + 2 requests of mean work within the settings' time (N + 3√N + 3 where N is under 30), N being what the settings allow it
+// then: their multiple of its present capacity in that time. A fall breaks the rule if over two thirds of it came from proxies that were told of the start.
 type coldBudget struct {
 	multiple float64
 	within   time.Duration
@@ -32,6 +32,9 @@
 	told bool // the sender was told of the start
 }
 
+// fewCalls is the number of requests under which chance is given more room.
+const fewCalls = 30
+
 // toldPart is the part of a fall that proxies which were told of the start may have sent at the most.
 const toldPart = 2.0 / 3
 
@@ -64,6 +67,9 @@
 // allowed is how many requests of mean work a server may get within the settings' time.
 func (b *coldBudget) allowed(m *fleet.Machine, now time.Time) float64 {
 	n := b.multiple * m.Capacity(now) * b.within.Seconds() / b.mean
+	if n < fewCalls {
+		return n + 3*math.Sqrt(n) + 3
+	}
 	return n + 2*math.Sqrt(n) + 2
 }
 
--- a/internal/lab/throng_test.go
+++ b/internal/lab/throng_test.go
@@ -29,3 +29,23 @@
 		})
 	}
 }
+
+// A hundred proxies share a discovery that bears five calls a second, so that most calls are refused for longer than a change may stay
+// unknown: nothing goes to a server that drains unheard of, whatever it answers to probes.
+func TestThrongOfManyProxies(t *testing.T) {
+	slow(t)
+	days := FuzzDays{MakeUp: RandomThrong}
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			made, err := days.scenario(seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			made.Proxies.Count = 100
+			if r := play(t, made, seed); r.Requests < 200 || r.Service < 0.5 {
+				t.Errorf("%d requests, service %.2f", r.Requests, r.Service)
+			}
+		})
+	}
+}
