--- a/internal/poll/epoll.go
+++ b/internal/poll/epoll.go
@@ -16,8 +16,8 @@
 	gathered     [batch]unix.EpollEvent
 }
 
-// newEpoll opens the two descriptors that a loop needs for itself.
-func newEpoll(calls SystemCalls) (*epoll, error) {
+// NewEpoll returns the Kernel that serves, on system calls. It opens the two descriptors that a loop needs for itself.
+func NewEpoll(calls SystemCalls) (Kernel, error) {
 	epfd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
--- a/internal/poll/loop.go
+++ b/internal/poll/loop.go
@@ -50,7 +50,7 @@
 
 // NewWithCalls is New with other system calls than Linux's own.
 func NewWithCalls(calls SystemCalls, wake func()) (*Loop, error) {
-	k, err := newEpoll(calls)
+	k, err := NewEpoll(calls)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/bed_test.go
+++ b/internal/proxy/bed_test.go
@@ -119,10 +119,26 @@
 	if b.loop, err = poll.New(func() {}); err != nil {
 		t.Fatal(err)
 	}
+	return b.begin(targets)
+}
+
+// newRealBedOn is newRealBed without probes, on a kernel that is put around the real one.
+func newRealBedOn(t testing.TB, targets int, around func(poll.Kernel) poll.Kernel) *bed {
+	t.Helper()
+	kernel, err := poll.NewEpoll(poll.LinuxCalls())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bed{t: t, local: loopback(), text: fmt.Sprintf(testSettings, false), loop: poll.NewOn(around(kernel), func() {})}
+	return b.begin(targets)
+}
+
+// begin makes the proxy on its loop.
+func (b *bed) begin(targets int) *bed {
 	b.build(targets)
 	b.settle()
 	b.base = b.loop.Open()
-	t.Cleanup(func() {
+	b.t.Cleanup(func() {
 		for _, l := range append(b.servers, b.front.listener) {
 			l.Close()
 		}
