The client is looked at last before its request is sent on

hop.send reads the clock and asks whether the attempt may begin, then reads the client's socket, then writes: a client that left while the process was held up behind its look at the clock is not sent on.

--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -125,17 +125,18 @@
 }
 
 // send passes the client's first line on. What arrived from the client while the connection came up is read first: one that
-// has left, or was no client of the protocol, is not sent on, in whatever order the kernel tells of the two.
+// has left, or was no client of the protocol, is not sent on, in whatever order the kernel tells of the two. That is the last look
+// before the write: a process that is held up behind its look at the clock sees what came meanwhile.
 func (h *hop) send() {
 	f := h.s.front
-	if !h.clientStays() {
-		return
-	}
 	left := h.until.Sub(f.loop.Refresh())
 	if left < time.Millisecond || !h.s.x.Sending() {
 		h.over(balance.NotSent, noReport)
 		return
 	}
+	if !h.clientStays() {
+		return
+	}
 	f.line = h.s.open.Append(f.line[:0], left)
 	if err := h.link.write(f.line); err != nil {
 		h.over(balance.NoConnect, noReport)
