--- a/cmd/ospreyspan/bed_test.go
+++ b/cmd/ospreyspan/bed_test.go
@@ -30,6 +30,7 @@
 	waits     map[string]time.Duration // deadlines of classes, where they differ from the example's
 	configure func(settings map[string]any)
 	env       []string
+	names     int // of servers in the list, of which several share a listener; 0: each has one of its own
 }
 
 // newBed starts servers, a discovery that names them and the program, and waits until that answers PONG.
@@ -40,6 +41,7 @@
 		b.servers = append(b.servers, newTestServer(t, fmt.Sprint("s", i)))
 	}
 	b.discovery = newTestDiscovery(t, b.servers)
+	b.discovery.names = max(c.names, c.servers)
 	b.process = startProcessIn(t, 1024, c.env, func(config map[string]any) {
 		config["discovery"] = b.discovery.at
 		config["known"] = json.RawMessage(b.discovery.list())
@@ -68,6 +70,14 @@
 	hung     bool // it answers nothing any more, whatever it is sent
 	full     bool // it turns requests away, and answers probes as before
 	attempts []attempt
+	accepted int
+}
+
+// connections is how many were made to it.
+func (s *testServer) connections() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.accepted
 }
 
 // attempt is a request's line as a server received it.
@@ -92,6 +102,9 @@
 			if err != nil {
 				return
 			}
+			s.lock.Lock()
+			s.accepted++
+			s.lock.Unlock()
 			go s.serve(c)
 		}
 	}()
@@ -176,7 +189,10 @@
 	servers []*testServer
 	version int
 	asked   int
-	busy    bool // it refuses all calls, since too many wait
+	names   int    // of servers; those beyond the listeners share them
+	told    int    // bytes of lists
+	patch   string // the last change, if it was of one server only
+	busy    bool   // it refuses all calls, since too many wait
 	changed chan struct{}
 }
 
@@ -220,14 +236,38 @@
 	var hosts []string
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	for _, s := range d.servers {
-		s.lock.Lock()
-		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"here","class":"m","block":0,"health":%q,"share":1,"born_ms":%d}`, s.name, s.at, s.health, s.bornMS))
-		s.lock.Unlock()
+	for i := range max(d.names, len(d.servers)) {
+		hosts = append(hosts, d.entry(i))
 	}
 	return fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[%s]}`, d.version, strings.Join(hosts, ","))
 }
 
+// entry is a server's part of the list.
+func (d *testDiscovery) entry(i int) string {
+	s := d.servers[i%len(d.servers)]
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	name := s.name
+	if i >= len(d.servers) {
+		name = fmt.Sprint(s.name, "-", i)
+	}
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"here","class":"m","block":0,"health":%q,"share":1,"born_ms":%d}`, name, s.at, s.health, s.bornMS)
+}
+
+// repeat tells watches of a change of one server, which stays as it is.
+func (d *testDiscovery) repeat(i int) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.announce(d.entry(i))
+}
+
+// bytes are those of all lists that it has told.
+func (d *testDiscovery) bytes() int {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.told
+}
+
 // add has the list name another server.
 func (d *testDiscovery) add(s *testServer) {
 	d.lock.Lock()
@@ -240,7 +280,13 @@
 func (d *testDiscovery) change() {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	d.announce("")
+}
+
+// announce ends the watches with a new version of the list; patch is its one changed entry, empty for the whole list.
+func (d *testDiscovery) announce(patch string) {
 	d.version++
+	d.patch = patch
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
@@ -265,7 +311,14 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	io.WriteString(w, d.list())
+	list := d.list()
+	d.lock.Lock()
+	if known && d.patch != "" {
+		list = fmt.Sprintf(`{"seq":%d,"whole":false,"hosts":[%s]}`, d.version, d.patch)
+	}
+	d.told += len(list)
+	d.lock.Unlock()
+	io.WriteString(w, list)
 }
 
 func (d *testDiscovery) refuses() bool {
