--- a/internal/proxy/lines.go
+++ b/internal/proxy/lines.go
@@ -23,6 +23,7 @@
 	sockets  int        // descriptors that the process may hold
 	sessions []*session // in no order that means anything, but the same in the same run
 	idling   list.List  // connections that make room when descriptors are short, see idleConnection; oldest first
+	resting  list.List  // those of them that wait for the next probe, see peer; likewise
 	peers    map[string]*peer
 	scratch  []byte
 	line     []byte
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -27,8 +27,13 @@
 	silent bool          // its clients are being moved for that; logged once
 	faulty time.Time     // the log last said that it breaks the protocol
 	idle   *list.Element // the connection's place among the front's idle ones; nil: not there
+	rests  *list.Element // its place among the front's idle connections for probes; likewise
 }
 
+// mostIdleProbes is how many connections are kept for the next probe: as many as a fleet of the usual size has servers. Of a much larger
+// one hardly any is probed again in time, and each would keep a descriptor and a place at its server.
+const mostIdleProbes = 96
+
 // complain logs that the target breaks the protocol: not more often than complainEvery, since a target that
 // garbles one answer may garble all.
 func (p *peer) complain(what string, text []byte) {
@@ -140,7 +145,18 @@
 func (p *peer) keep() {
 	if p.idle != nil {
 		p.front.idling.Remove(p.idle)
-		p.idle = nil
+		p.front.resting.Remove(p.rests)
+		p.idle, p.rests = nil, nil
+	}
+}
+
+// rest puts the connection among the idle ones, and closes the oldest of those that wait for a probe if they are too many.
+func (p *peer) rest() {
+	f := p.front
+	p.idle = f.idling.PushBack(p)
+	p.rests = f.resting.PushBack(p)
+	if f.resting.Len() > mostIdleProbes {
+		f.resting.Front().Value.(*peer).hangUp()
 	}
 }
 
@@ -219,7 +235,7 @@
 	}
 	line.Figures(rest, func(name string, v float64) { p.front.set.Put(&rep, name, v) })
 	p.state, p.used = probeIdle, true
-	p.idle = p.front.idling.PushBack(p)
+	p.rest()
 	p.front.loop.Disarm(&p.timer)
 	if idle := p.front.set.ConnIdle; idle > 0 {
 		p.front.loop.After(&p.timer, idle)
