The decision module is parted into files with one job each

Now: events and timers (balance.go), the choice (placement.go), what follows a failed attempt (retries.go), cold backends (slowstart.go, with what was permits.go), moves (moves.go), reports and weights (weights.go). No line of code changed: the same lines in other files.

--- a/balance/interface.go
+++ b/balance/interface.go
@@ -1,9 +1,9 @@
 // Package balance decides for one relay where its long-lived connections go.
 //
 // This file is the whole interface: settings, events' values and the actions asked of the host. The
-// decisions are in balance.go. A Balancer has no clock, does no I/O and starts no goroutine: every event
-// carries its time, every action goes to a [Host], and the same events with the same seed bring the same
-// actions. It is not safe for concurrent use.
+// decisions are in the other files, one job each. A Balancer has no clock, does no I/O and starts no
+// goroutine: every event carries its time, every action goes to a [Host], and the same events with the same
+// seed bring the same actions. It is not safe for concurrent use.
 package balance
 
 import "time"
--- /dev/null
+++ b/balance/moves.go
@@ -0,0 +1,87 @@
+// Which open connections are moved: off backends that drain, and off overloaded ones.
+
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	leaveWithin = 5 * time.Second        // own connections are moved off a backend that drains within this...
+	leaveStep   = 200 * time.Millisecond // ...a few at a time
+
+	reliefAt = 0.95 // load of a backend from which its connections are moved...
+	reliefTo = 0.65 // ...down to this, well under the bar, so that it is not full again at once
+)
+
+// leave moves own connections off the backends that drain, evenly over leaveWithin: they would all be cut off
+// at once when these stop, and come back at once. All relays hear of a drain in
+// the same moment. Those of most worth go first, while there is surely time.
+func (b *Balancer) leave(now time.Time) {
+	b.leaving = false
+	for _, k := range b.all {
+		if k.State != Draining {
+			k.empty = time.Time{}
+			continue
+		}
+		b.leaving = true
+		if k.empty.IsZero() {
+			k.empty = now.Add(leaveWithin)
+		}
+		var open []*request
+		for _, r := range k.held {
+			if r.open && !r.moved {
+				open = append(open, r)
+			}
+		}
+		slices.SortStableFunc(open, func(r, than *request) int {
+			return cmp.Compare(b.class(than.Class).Worth, b.class(r.Class).Worth)
+		})
+		steps := max(int(k.empty.Sub(now)/leaveStep), 1)
+		// A part that is no whole number is drawn: each of many relays holds one or two there, and rounded
+		// up all of these would go in the first step, at all relays at once.
+		part := float64(len(open))/float64(steps) + b.rng.Float64()
+		for _, r := range open[:min(int(part), len(open))] {
+			r.moved = true
+			b.host.Move(r.ID)
+		}
+	}
+	if b.leaving {
+		b.host.After(leaveStep, timerLeave)
+	}
+}
+
+// relieve moves own connections off an overloaded backend: there all messages are late, and work that has
+// piled up does not go away by itself. Every relay moves the same part of its own, drawn so that small
+// numbers add up, and then waits until reports can show what that did.
+func (b *Balancer) relieve(now time.Time, k *backend, load float64) {
+	if !(load > reliefAt) || now.Sub(k.relief) < probeEvery {
+		return
+	}
+	k.relief = now
+	excess := (1 - reliefTo/load) * float64(len(k.held))
+	for n := int(excess + b.rng.Float64()); n > 0; n-- {
+		var least *request
+		for _, r := range k.held {
+			if r.open && !r.moved && (least == nil || b.firstOff(k, r, least)) {
+				least = r
+			}
+		}
+		if least == nil {
+			return
+		}
+		least.moved = true
+		b.host.Move(least.ID)
+	}
+}
+
+// firstOff orders connections for relief: the group that ranks the backend lowest goes first, at all relays
+// alike, so that it soon pays for one group less; then the least worth.
+func (b *Balancer) firstOff(k *backend, r, than *request) bool {
+	if b.cfg.Groups && r.Group != than.Group {
+		return mix(hash(r.Group)^k.hash) < mix(hash(than.Group)^k.hash)
+	}
+	return b.class(r.Class).Worth < b.class(than.Class).Worth
+}
--- /dev/null
+++ b/balance/placement.go
@@ -0,0 +1,241 @@
+// Which backend a request goes to: its sample of the backends, and the choice among them.
+
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	scanFresh = 200 * time.Millisecond // a scan younger than this serves further requests
+	reportLag = time.Second            // how long one report is all that is known of a backend
+
+	scanSize   = 3    // backends of a sampled scan
+	drawTries  = 6    // draws for each backend of a sample, so that few ready ones are found
+	heldMore   = 2    // backends that are looked at besides for requests that were held
+	heldFresh  = 2    // doublings of that age for requests that were held: their looks are most by far
+	groupRanks = 6    // backends on which a group may spill at all relays alike
+	groupCost  = 2.0  // a backend that would pay for a group anew needs this many times the weight
+	groupSpill = 25.0 // and this many more idle points, for each place after the first...
+	groupSeen  = 4.0  // ...where so few relays share the backends that each knows who holds the group...
+	groupLeast = 0.5  // ...and this part of them where it can't tell
+	shedWeight = 25.0 // idle points below which a backend takes no new connection
+	freshCost  = 2.0  // idle points that a placement takes until a report tells
+	worthMost  = 2.0  // most that the bar rises by a worth below the mean
+	overSlack  = 1.5  // a tenant's share is passed over until it is exceeded by this factor
+	overMost   = 3.0  // most idle points asked of a tenant beyond its share, in shedWeights
+	scanWait   = 0.1  // part of the aim for which a request waits for a scan
+	crossing   = 10.0 // passes over a backend of another zone in a draw, for each unit of its price
+	firstShare = 0.4  // part of the aim that a first attempt may take: there must be time for another
+)
+
+// seek draws a request's sample of the backends and places the request once their reports are fresh. On a
+// big fleet this takes the place of probing all: one relay's few requests do not pay for so many probes,
+// and relays that look at different samples do not herd to the same backend.
+func (b *Balancer) seek(now time.Time, r *request) {
+	// Attempts that all fail for one cause (a shared store, a mass return) queue up there in vain: as in
+	// congestion control, fewer are sent at a time, down to one, until some succeed.
+	if float64(b.out) >= b.window {
+		b.park(now, r)
+		return
+	}
+	r.awaited = 0
+	if r.sample = r.sample[:0]; r.Group != "" && b.cfg.Groups {
+		b.drawGroup(now, r)
+	}
+	b.draw(now, r)
+	for _, k := range r.sample {
+		if b.probe(now, k, scanFresh<<min(r.parks, heldFresh)) {
+			r.awaited++
+		}
+	}
+	if r.awaited == 0 {
+		b.place(now, r)
+		return
+	}
+	b.scanning = append(b.scanning, r)
+	wait := micros(min(b.class(r.Class).Aim, r.deadline.Sub(now))) * scanWait
+	b.wake(now, r, span(wait))
+}
+
+// draw takes a random sample of the warm backends, and a cold one that was offered a connection.
+func (b *Balancer) draw(now time.Time, r *request) {
+	for added := false; len(b.offers) > 0 && !added; b.offers = b.offers[1:] {
+		if o := b.offers[0]; now.Sub(o.at) < b.cfg.Rules.FallWithin && o.to.State == Ready {
+			r.sample = append(r.sample, o.to)
+			added = true
+		}
+	}
+	want := min(scanSize+min(r.parks, heldMore), len(b.ready)) // one that was held found no room in a few
+	for tries := 0; tries < drawTries*scanSize && len(r.sample) < want; tries++ {
+		k := b.ready[b.rng.IntN(len(b.ready))]
+		far := k.Zone != b.cfg.Zone && b.rng.Float64() < crossing*b.cfg.Prices.CrossZone
+		if !far && b.warmth(now, k) >= 1 && !slices.Contains(r.sample, k) {
+			r.sample = append(r.sample, k)
+		}
+	}
+	if len(r.sample) == 0 && len(b.ready) > 0 {
+		// Perhaps all are cold: each request may then try one, as often as that one is warm.
+		if k := b.ready[b.rng.IntN(len(b.ready))]; b.rng.Float64() < b.warmth(now, k) {
+			r.sample = append(r.sample, k)
+		}
+	}
+}
+
+// drawGroup takes the backend that ranks first for the request's group by a hash, and the second; for one
+// that was held, another of the first groupRanks. All relays rank alike without a word between them, so a
+// group and its spills stay together and few backends pay for it.
+func (b *Balancer) drawGroup(now time.Time, r *request) {
+	h, load := hash(r.Group), b.borne(now)
+	var ranks [groupRanks]uint64
+	for _, k := range b.ready {
+		rank := mix(h ^ k.hash)
+		n := len(r.sample)
+		if n == groupRanks && rank <= ranks[n-1] || k.shunned(now) || !b.mayTake(now, r, k, load) {
+			continue
+		}
+		if n < groupRanks {
+			r.sample = append(r.sample, k)
+			n++
+		}
+		i := n - 1
+		for ; i > 0 && ranks[i-1] < rank; i-- {
+			ranks[i], r.sample[i] = ranks[i-1], r.sample[i-1]
+		}
+		ranks[i], r.sample[i] = rank, k
+	}
+	if n := len(r.sample); n > 1 {
+		if r.parks > 0 {
+			r.sample[1] = r.sample[1+b.rng.IntN(n-1)]
+		}
+		r.sample = r.sample[:2]
+	}
+}
+
+// place sends a request to the backend with the fewest own connections for its weight.
+func (b *Balancer) place(now time.Time, r *request) {
+	late := r.attempts > 0 && !now.Before(r.deadline)
+	spent := b.cfg.MaxAttempts > 0 && r.attempts >= b.cfg.MaxAttempts || late
+	if spent || r.ran != nil && b.class(r.Class).Repeat == RepeatNever {
+		b.conclude(r)
+	} else if k := b.pick(now, r); k != nil {
+		b.send(now, r, k)
+	} else {
+		// Discovery may name a backend soon, or one may recover.
+		r.tried = r.tried[:0]
+		b.park(now, r)
+	}
+}
+
+func (b *Balancer) send(now time.Time, r *request, k *backend) {
+	timeout, c := r.deadline.Sub(now), b.class(r.Class)
+	if r.attempts == 0 && b.cfg.MaxAttempts != 1 && c.Repeat != RepeatNever && b.failing < commonFail {
+		// A backend that accepts and stays silent must leave time for another try inside the aim. Where the
+		// second is slow too, it is hardly the backend: more would queue up at what all of them wait for.
+		timeout = min(timeout, span(micros(c.Aim)*firstShare))
+	}
+	r.attempts++
+	r.sent = now
+	k.permits.used++
+	b.out++
+	r.tried = append(r.tried, k)
+	b.hold(r, k)
+	if now.Sub(k.seen) >= probeEvery {
+		k.fresh = 0 // without reports the bar would shut out for ever what this relay has used
+	}
+	k.fresh++
+	b.host.Send(r.ID, k.ID, max(timeout, time.Microsecond))
+}
+
+// pick is the rule of the design: least own connections for each unit of weight, ties at random, among the
+// request's sample.
+//
+// Near saturation one more connection spoils those that a backend has. None is placed that would find less
+// than shedWeight idle points: it is held, and in the end refused.
+func (b *Balancer) pick(now time.Time, r *request) *backend {
+	var best *backend
+	var least float64
+	var wanted []*backend
+	ties := 0
+	// Those that fail, and slow ones, that leave probes unanswered and whose W is that of better times, won
+	// every sample. They are passed over wherever there is another: all of them can't be at fault.
+	other := slices.ContainsFunc(r.sample, func(k *backend) bool {
+		return b.usable(now, r, k) && !k.shunned(now)
+	})
+	spill := groupSpill * min(max(groupSeen/float64(b.cfg.Balancers), groupLeast), 1)
+	bar := shedWeight * min(max(b.excess(r)/overSlack, 1), overMost)
+	if w := b.class(r.Class).Worth; w > 0 { // what is worth less than most leaves the last room to them
+		bar *= min(max(math.Sqrt(b.worth/w), 1), worthMost)
+	}
+	for i, k := range r.sample {
+		if !b.usable(now, r, k) || other && k.shunned(now) {
+			continue
+		}
+		// Where many relays share the backends an own count is 0 or 1 by chance and says little: what it
+		// held when it was last seen is in its weight, so only what went there since counts in full. The
+		// one added, as in the shortest expected delay, lets weights tell idle backends apart.
+		old := float64(len(k.held)-k.fresh) / float64(b.cfg.Balancers)
+		added := 1 + float64(k.fresh)
+		count := (added + old) / k.weight
+		if k.Zone != b.cfg.Zone {
+			count /= max(1-crossing*b.cfg.Prices.CrossZone, 1/crossing) // local work is worth its price
+		}
+		need := bar
+		if r.Group != "" && b.cfg.Groups && !k.holds(r.Group) {
+			// It would pay for the group anew: later in the sample, only with ever more room.
+			need += spill * float64(i)
+			count *= math.Pow(groupCost, float64(i))
+		}
+		if need <= max(bar, k.weight) { // else it would not come for a while: that room is another's
+			wanted = append(wanted, k)
+		}
+		if need+freshCost*float64(k.fresh) > k.weight || b.rng.Float64() > b.room(now, k) {
+			continue
+		}
+		switch {
+		case best == nil || count < least:
+			best, least, ties = k, count, 1
+		case count == least:
+			if ties++; b.rng.IntN(ties) == 0 {
+				best = k
+			}
+		}
+	}
+	if best != nil {
+		wanted = append(wanted[:0], best)
+	}
+	for _, k := range wanted { // one that is held would have taken whichever had room
+		k.wants, k.wanted = k.wantsBy(now)+1, now
+	}
+	return best
+}
+
+// room is the part of the requests that want a backend which may go there. Until its next report all relays
+// read the same one: the more they are, the further they would fill it beyond what it tells, and relief
+// empties it again. The own wants times the relays tell how many to expect; its head room, how many it bears.
+func (b *Balancer) room(now time.Time, k *backend) float64 {
+	wants := k.wantsBy(now) * float64(b.cfg.Balancers) * micros(reportLag) / micros(probeEvery)
+	if !(k.each > 0) || wants <= 0 {
+		return 1
+	}
+	return (k.weight - shedWeight) / (fullWeight * k.each * wants)
+}
+
+// excess is a tenant's own connections here over this relay's part of its share. What is beyond the share is
+// worth little: it must find more idle points, so that it leaves room before others are turned away.
+func (b *Balancer) excess(r *request) float64 {
+	if r.Tenant < 0 || r.Tenant >= len(b.cfg.Tenants) || b.cfg.Tenants[r.Tenant].Connections <= 0 {
+		return 0
+	}
+	return float64(b.tenants[r.Tenant]) * float64(b.cfg.Balancers) / b.cfg.Tenants[r.Tenant].Connections
+}
+
+// usable tells whether a request may go to a backend. A cold one must have told its load just now: in a wave,
+// one that is about to fall answers no probes, and its weight is that of better times.
+func (b *Balancer) usable(now time.Time, r *request, k *backend) bool {
+	told := !b.cfg.MayProbe || now.Sub(k.seen) < reportLag || b.warmth(now, k) >= 1
+	takes := told && k.State == Ready && b.withinLimit(now, k)
+	return takes && !slices.Contains(r.tried, k) && b.repeatable(now, r, k)
+}
--- /dev/null
+++ b/balance/retries.go
@@ -0,0 +1,69 @@
+// What becomes of a request whose attempt failed, or that finds no room: held, tried again, or given its
+// final answer.
+
+package balance
+
+import (
+	"time"
+)
+
+const (
+	backoff     = 0.4  // part of the aim before a second try while most attempts fail; then doubles
+	adviceShare = 0.25 // part of the longest advice that a refused client gets: room is found soon
+	ejectFor    = 1.0  // first ejection of a failing backend, in probe periods; doubles each time
+	ejectMost   = 4    // doublings of an ejection
+)
+
+// park holds a request for a while before its next try, or concludes it if its time is too short for that.
+func (b *Balancer) park(now time.Time, r *request) {
+	wait := micros(b.class(r.Class).Aim) * backoff * float64(int64(1)<<min(r.parks, ejectMost))
+	wait = max(wait*(0.5+b.rng.Float64()), 1)
+	r.parks++
+	if !now.Add(span(wait)).Before(r.deadline) {
+		b.conclude(r)
+		return
+	}
+	b.wake(now, r, span(wait))
+}
+
+// repeatable tells whether sending to a backend can have no effect twice.
+func (b *Balancer) repeatable(now time.Time, r *request, k *backend) bool {
+	c := b.class(r.Class)
+	if r.ran == nil || c.Repeat == RepeatFree {
+		return true
+	}
+	if c.Repeat == RepeatNever || now.Sub(r.ranSince) >= c.Window {
+		return false
+	}
+	return c.Scope == ScopeAll || c.Scope == ScopeZone && k.Zone == r.ran.Zone ||
+		c.Scope == ScopeCell && k.Cell == r.ran.Cell
+}
+
+// conclude gives a request that cannot be placed its final answer.
+func (b *Balancer) conclude(r *request) {
+	c := b.class(r.Class)
+	b.forget(r)
+	if r.ran == nil || c.Repeat == RepeatFree || c.Repeat == RepeatKeyed && c.Scope == ScopeAll {
+		b.host.Refuse(r.ID, time.Duration(float64(b.cfg.MaxAdvice)*adviceShare))
+	} else {
+		b.host.Fail(r.ID)
+	}
+}
+
+// judge counts failures in a row and ejects a backend that fails: discovery only knows whether a process
+// runs, and learns even that late.
+func (b *Balancer) judge(now time.Time, k *backend, o Outcome) {
+	switch o {
+	case OK:
+		k.strikes = 0
+		return
+	case Cancelled, NotSent:
+		return
+	}
+	if now.Before(k.until) {
+		return // a process that dies breaks all its connections at once: that is one failure
+	}
+	times := float64(int64(1) << min(k.strikes, ejectMost))
+	k.until = now.Add(b.spread(span(ejectFor * micros(probeEvery) * times)))
+	k.strikes++
+}
--- a/balance/permits.go
+++ b/balance/slowstart.go
@@ -8,15 +8,18 @@
 // How much a cold backend may be sent.
 //
 // It falls when all relays together send it more than Rules.FallMultiple times what it can do within
-// Rules.FallWithin. A mass return brings one request to each of many relays within the age of one report, so that
-// no relay sees the sum. It is bounded beforehand: from its first request that wants a cold backend on, each relay
-// holds for Rules.FallWithin as many permits as it drew then. One that is not used is gone with that time, and the
-// sum is binomial however many requests come.
+// Rules.FallWithin. A mass return brings one request to each of many relays within the age of one report, so
+// that no relay sees the sum. It is bounded beforehand: from its first request that wants a cold backend on,
+// each relay holds for Rules.FallWithin as many permits as it drew then. One that is not used is gone with
+// that time, and the sum is binomial however many requests come.
 
 const (
-	permitShare   = 1.5  // of the settings' budget, which is computed from the slowest warm-up that they allow
-	returnSize    = 2.0  // largest mass return to one backend, in connections that a backend holds in the mean
-	mostDoublings = 3    // of the permits, while a relay has to deny returning clients at a backend that stays idle
+	permitShare   = 1.5  // of the settings' budget, computed from the slowest warm-up that they allow
+	returnSize    = 2.0  // largest mass return to a backend, in connections that one holds in the mean
+	mostDoublings = 3    // of the permits, while returning clients are denied at a backend that stays idle
+	fallShare     = 0.8  // part of the fall multiple that all relays mean to send a cold backend
+	coldShare     = 0.6  // likewise by the ranks of groups, of which a large one brings several even parts
+	heldShare     = 0.7  // of that for requests that were held: they come in waves
 	borneLeast    = 0.25 // load that the warm backends are taken to bear at the least
 )
 
@@ -38,7 +41,8 @@
 	}
 	next := permits{lapse: now.Add(b.cfg.Rules.FallWithin)}
 	if last.denied && now.Sub(last.lapse) < b.cfg.Rules.FallWithin {
-		// By now reports show what all relays sent in the last term; the mean falls with the idle part that they tell.
+		// By now reports show what all relays sent in the last term; the mean falls with the idle part that
+		// they tell.
 		next.doublings = min(last.doublings+1, mostDoublings)
 	}
 	mean := b.meanPermits(now, k) * float64(int64(1)<<next.doublings)
@@ -50,11 +54,11 @@
 	k.permits = next
 }
 
-// meanPermits is the mean number of permits that this relay draws for a cold backend. All relays together hold a
-// share of what the rules allow: a backend takes connections no faster than fills it over its warm-up, and it is full
-// with as many as a warm one holds, over the load that this one reports. A relay's part of these is what it holds
-// itself. Where many relays share few connections, only some of them see a client of the largest return: these may
-// use the permits of the others.
+// meanPermits is the mean number of permits that this relay draws for a cold backend. All relays together
+// hold a share of what the rules allow: a backend takes connections no faster than fills it over its warm-up,
+// and it is full with as many as a warm one holds, over the load that this one reports. A relay's part of
+// these is what it holds itself. Where many relays share few connections, only some of them see a client of
+// the largest return: these may use the permits of the others.
 func (b *Balancer) meanPermits(now time.Time, k *backend) float64 {
 	rules := b.cfg.Rules
 	if rules.WarmWithin <= 0 || len(b.ready) == 0 {
@@ -84,8 +88,8 @@
 	return false
 }
 
-// withinLimit tells whether this relay may send a backend one more request, whatever its path: to a cold one at most
-// one, or as many as it drew permits.
+// withinLimit tells whether this relay may send a backend one more request, whatever its path: to a cold one
+// at most one, or as many as it drew permits.
 func (b *Balancer) withinLimit(now time.Time, k *backend) bool {
 	if b.warmth(now, k) >= 1 {
 		return true
@@ -129,3 +133,41 @@
 	}
 	return max(load/seen, borneLeast)
 }
+
+// mayTake draws whether a request may go to a backend by its group's rank; a warm one always may. The even
+// part of the new connections is what fills a warm one to the load that is reported. A cold one gets as many
+// times that as its warmth allows for, at a part of the fall multiple, at all relays together. That needs no
+// luck of a relay's own: its connections may end once in a minute, while the cold one warms up in twenty
+// seconds and the warm ones are overloaded. Clients that return come all at once, and need permits.
+func (b *Balancer) mayTake(now time.Time, r *request, k *backend, load float64) bool {
+	w := b.warmth(now, k)
+	if w >= 1 {
+		return true
+	}
+	if r.Again {
+		return b.mayReturn(now, k)
+	}
+	p := w / load * b.cfg.Rules.FallMultiple * coldShare * k.weight / fullWeight // what it has already counts
+	if r.parks > 0 {
+		p *= heldShare
+	}
+	return b.rng.Float64() < p
+}
+
+// offer follows an own connection that ended well at a warm backend. A cold one gets new connections in no
+// other way: it looks emptiest to every relay at once, and the requests of a bad time come again and again.
+// But what ends well was borne by the warm ones. The part of it that one of them bears, times a cold one's
+// warmth, is within what that may be sent, and is so at each relay alone. (When this was shared out over the
+// cold ones too, which bear nothing yet, most of a fleet that was enlarged threefold stood idle.)
+func (b *Balancer) offer(now time.Time, ended *backend) {
+	if b.warmth(now, ended) < 1 {
+		return
+	}
+	warm := float64(b.countWarm(now))
+	for _, k := range b.ready {
+		w := b.warmth(now, k)
+		if w < 1 && b.rng.Float64() < w/max(warm, 1)*b.cfg.Rules.FallMultiple*fallShare {
+			b.offers = append(b.offers, offer{k, now})
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -118,8 +118,8 @@
 	b.hold(r, k)
 }
 
-// Held tells how many own connections and attempts a backend has by the relay's count, for a host that compares
-// it with its sockets.
+// Held tells how many own connections and attempts a backend has by the relay's count, for a host that
+// compares it with its sockets.
 func (b *Balancer) Held(id string) int {
 	if k := b.byID[id]; k != nil {
 		return len(k.held)
@@ -210,8 +210,8 @@
 	}
 }
 
-// Thrifty says whether all relays together have made as many further attempts as they may: while it is on, a request whose attempt
-// failed has its final answer at once.
+// Thrifty says whether all relays together have made as many further attempts as they may: while it is on, a
+// request whose attempt failed has its final answer at once.
 func (b *Balancer) Thrifty(on bool) { b.thrifty = on }
 
 // shunned tells whether it failed of late, or left its last probe unanswered.
@@ -219,8 +219,9 @@
 	return k.missed || now.Before(k.until) || now.Before(k.told)
 }
 
-// Told takes what other relays know of a backend, of which this one may have seen nothing yet: until then it counts as one that
-// failed of late, and is passed over wherever there is another. A time that is over takes that back.
+// Told takes what other relays know of a backend, of which this one may have seen nothing yet: until then it
+// counts as one that failed of late, and is passed over wherever there is another. A time that is over takes
+// that back.
 func (b *Balancer) Told(id string, until time.Time) {
 	if k := b.byID[id]; k != nil {
 		k.told = until
--- /dev/null
+++ b/balance/weights.go
@@ -0,0 +1,88 @@
+// What is known of the backends' load: probes, reports and the weights that follow them.
+
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	step        = 5   // A of the paper: a smaller change of a weight is noise
+	fullWeight  = 100 // W of a backend that joins
+	floorWeight = 1   // keeps W positive, so that a full backend is still the last resort
+)
+
+// probe asks for a report unless there is one younger than age. It tells whether one is to come.
+func (b *Balancer) probe(now time.Time, k *backend, age time.Duration) bool {
+	if !b.cfg.MayProbe || !k.seen.IsZero() && now.Sub(k.seen) < age {
+		return false
+	}
+	if !k.asked {
+		k.asked = true
+		b.host.Probe(k.ID)
+	}
+	return true
+}
+
+// report sets a backend's weight: W = 100 - L, unless it moves by less than the step.
+func (b *Balancer) report(k *backend, rep Report) {
+	load := rep.Load
+	if !(load >= 0) {
+		load = rep.CPU
+	}
+	if !(load >= 0) {
+		return // no word on its load: W stays
+	}
+	k.fresh = 0
+	k.each = rep.Load / rep.Active
+	w := max(fullWeight*(1-min(load, 1)), floorWeight)
+	if math.Abs(w-k.weight) >= step {
+		k.weight = w
+	}
+}
+
+// Probed takes the answer to a probe; where none came, W stays.
+func (b *Balancer) Probed(now time.Time, id string, o Outcome, rep Report) {
+	k := b.byID[id]
+	if k == nil {
+		return
+	}
+	if k.asked = false; o != NotSent { // a shortage at the host tells nothing of the backend
+		k.missed = o != OK
+	}
+	if o == OK {
+		k.seen, k.fresh = now, 0 // also if it tells no load: the bar must not shut out what it cannot judge
+		b.report(k, rep)
+		b.relieve(now, k, rep.Load)
+	} else if o == NoConnect {
+		b.judge(now, k, o) // the process is down, which discovery learns much later
+	}
+	held := b.scanning
+	b.scanning = b.scanning[:0]
+	for _, r := range held {
+		if slices.Contains(r.sample, k) {
+			r.awaited--
+		}
+		switch {
+		case r.over: // the client left meanwhile
+		case r.awaited <= 0:
+			b.place(now, r)
+		default:
+			b.scanning = append(b.scanning, r)
+		}
+	}
+}
+
+// Note takes word on an open connection. Messages that are late there are a reason to look at its backend at
+// once: one relay can't afford to probe all those that hold a few of its connections in time for relief.
+func (b *Balancer) Note(now time.Time, id RequestID, n Note, level float64) {
+	r := b.requests[id]
+	if r == nil || !r.open || n != NoteDelay || now.Sub(r.at.seen) < reportLag {
+		return
+	}
+	if c := b.class(r.Class); level*1000 >= micros(c.MessageAim) {
+		b.probe(now, r.at, scanFresh)
+	}
+}
--- a/internal/lab/planted_test.go
+++ b/internal/lab/planted_test.go
@@ -99,7 +99,7 @@
 		days: "throng", set: []string{"rules.cold_budget=false"}, rules: []string{"ask-again", "stale-list"},
 	},
 	{
-		name: "a cold target passes for a warm one", file: "balance/balance.go",
+		name: "a cold target passes for a warm one", file: "balance/slowstart.go",
 		function: "func (b *Balancer) warmth(now time.Time, k *backend) float64", to: "	return 1\n",
 		days: "throng", set: []string{"discovery.call=20ms", "rules.news_within=0s", "rules.ask_again=0s"},
 		rules: []string{"cold-budget", "cold-relay-pushed-over"},
