The grace's margin is what a hold-up needs; both clocks are read in one moment

The wall clock is read together with a fresh look at the loop's clock (NewEngine): between the loop's making and the engine's the latter may have stood still.

--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -114,7 +114,7 @@
 	})
 	e.startedAt = e.loop.Now()
 	module.Start(e.startedAt)
-	e.births = routes.NewBirths(e.startedAt, e.loop.Wall())
+	e.births = routes.NewBirths(e.loop.Refresh(), e.loop.Wall()) // the two clocks in one moment
 	e.births.Mark(c.Known, e.startedAt, time.Time{})
 	e.table.Merge(c.Known)
 	e.push(event{kind: evList, list: balance.ListStale, entries: backends(c.Known.Hosts)})
--- a/internal/proxy/listwait.go
+++ b/internal/proxy/listwait.go
@@ -16,8 +16,8 @@
 	// came behind that counts as told, since its list may know of a drain before the server itself does.
 	proofFresh = routes.ListLease / 2
 	// graceMargin is the part of the time for sends to a server that stops which is left for the write itself: a process may be held
-	// up for 150 ms between reading its clock and writing.
-	graceMargin = 200 * time.Millisecond
+	// up for 150 ms between reading its clock and writing, and limits of time are 50 ms longer on sockets.
+	graceMargin = 120 * time.Millisecond
 )
 
 // heldSend is an attempt that the module has decided on and that waits for a list that is up to date.
