Calls in discovery's queue are waited for, and those with a short lease ask first

Callers saw requests wait or refused since their process had no confirmed list for over 6 s, though discovery had a turn for each. Now it is waited for 3 s before the first answer and behind a refusal; discovery's limit is 2 s. A refused process whose lease ends soon asks sooner, one of many with a fresh lease later (pace.busy). Silence without a refusal is noticed as before.

The pace's test names the lease now; its bounds are the same.

--- a/internal/routes/pace.go
+++ b/internal/routes/pace.go
@@ -11,6 +11,12 @@
 	busyRetry   = 400 * time.Millisecond
 	busyMost    = 800 * time.Millisecond
 	refusedPerS = 330
+	// A refused process whose lease ends within urgentWithin asks again after urgentPart of that pause, and one whose lease still runs
+	// for longer than restfulFrom, as one of many, after restfulPart of it: who needs an answer first gets a place in the queue first.
+	urgentWithin = 2 * time.Second
+	urgentPart   = 0.25
+	restfulFrom  = 4 * time.Second
+	restfulPart  = 1.5
 	// Processes that lose discovery together draw their retries apart: retryFrom is the first mean pause after a failure, which
 	// doubles up to retryMost.
 	retryFrom = 250 * time.Millisecond
@@ -68,11 +74,19 @@
 	p.longest = max(p.longest-time.Duration(waitGain*float64(p.first)), p.first/2)
 }
 
-// busy takes a refused call, the n-th in a row from 0, and draws the pause before the next one.
-func (p *pace) busy(n int) time.Duration {
+// busy takes a refused call, the n-th in a row from 0, and draws the pause before the next one. The lease of the list still runs for
+// left; below 0 it has run out.
+func (p *pace) busy(n int, left time.Duration) time.Duration {
 	p.longest = min(2*p.longest, 2*p.first)
 	most := max(busyMost, time.Duration(p.processes)*time.Second/refusedPerS)
-	return p.around(min(busyRetry<<min(n, maxDoublings), most))
+	mean := float64(min(busyRetry<<min(n, maxDoublings), most))
+	switch {
+	case left > restfulFrom && p.processes > fewProcesses:
+		mean *= restfulPart
+	case left > 0 && left <= urgentWithin:
+		mean *= urgentPart
+	}
+	return p.around(time.Duration(mean))
 }
 
 // failed draws the pause after a call that failed otherwise, the n-th in a row from 0.
--- a/internal/routes/pace_test.go
+++ b/internal/routes/pace_test.go
@@ -18,7 +18,7 @@
 		sum, most := time.Duration(0), time.Duration(0)
 		const refusals = 1000
 		for n := range refusals {
-			pause := p.busy(n)
+			pause := p.busy(n, 3*time.Second)
 			sum, most = sum+pause, max(most, pause)
 		}
 		if perS := float64(processes) * refusals / sum.Seconds(); most >= ListLease || processes > 300 && perS > 1.1*refusedPerS {
@@ -43,3 +43,24 @@
 		}
 	}
 }
+
+// A refused process whose lease ends soon asks again sooner than one whose lease has long to run; one whose lease is over asks as one
+// in between, since all may be in that state for long.
+func TestPaceByNeed(t *testing.T) {
+	for _, processes := range []int{3, 300} {
+		mean := func(left time.Duration) time.Duration {
+			p, sum := newPace(processes, 10*time.Second, rand.New(rand.NewPCG(1, 1))), time.Duration(0)
+			for n := range 200 {
+				sum += p.busy(n, left)
+			}
+			return sum / 200
+		}
+		fresh, usual, soon, over := mean(5*time.Second), mean(3*time.Second), mean(time.Second), mean(-time.Second)
+		if fresh <= usual && processes > fewProcesses || usual < 3*soon || over < usual*9/10 {
+			t.Errorf("%d processes: %v with 5 s left, %v with 3 s, %v with 1 s, %v behind the end", processes, fresh, usual, soon, over)
+		}
+		if soon > urgentWithin/4 {
+			t.Errorf("%d processes: %v with 1 s left leave no time for more than one call", processes, soon)
+		}
+	}
+}
--- a/internal/routes/watch.go
+++ b/internal/routes/watch.go
@@ -24,7 +24,8 @@
 	// connection that comes up a second late, a silence and another such connection take 3.3 s.
 	dialWait  = 1200 * time.Millisecond
 	openGrace = 1200 * time.Millisecond
-	// queueGrace is the same after a second failure: a call may wait in discovery's queue.
+	// queueGrace is the same where a call may wait in discovery's queue: the first one of a process, one behind a refusal, and one
+	// behind a second failure. A call that is given up there has taken its turn for nothing.
 	queueGrace = 3 * time.Second
 	// Where lists are pushed, what discovery has counts as told whether or not it was asked, and the rules leave 0.5 s: it is tried
 	// at short intervals, as nobody else's calls are in the way. One try and one pause are over in 0.45 s at the most.
@@ -60,6 +61,7 @@
 	stands   bool      // the last call was answered: the next one goes on with the watch
 	again    bool      // the connection has answered a call before
 	tries    int       // calls that failed in a row
+	crowded  bool      // others may ask at the same time: no call was answered yet, or the last one was refused
 	hurry    time.Time // until then the pauses stay short
 	pushed   bool      // lists are pushed
 	calls    *int      // counts them
@@ -107,7 +109,7 @@
 // NewWatch returns a Watch, which makes no call before Start.
 func NewWatch(c WatchConfig) *Watch {
 	w := &Watch{
-		loop: c.Loop, addr: c.Addr, seq: c.Seq, pushed: c.Pushed, calls: c.Calls, news: c.News,
+		loop: c.Loop, addr: c.Addr, seq: c.Seq, pushed: c.Pushed, calls: c.Calls, news: c.News, crowded: !c.Pushed,
 		pace: newPace(c.Processes, c.AskWithin, c.Rand), lease: NewLease(c.Loop.Now(), c.Pushed),
 	}
 	w.timer.Fire = w.due
@@ -250,7 +252,7 @@
 		wait, grace = leadWait, answerGrace
 	case w.stands:
 		wait, grace = w.pace.wait(), answerGrace
-	case w.tries > 1:
+	case w.tries > 1 || w.crowded:
 		grace = queueGrace
 	}
 	w.out = appendCall(w.out[:0], w.addr.String(), w.seq, wait.Milliseconds())
@@ -340,7 +342,7 @@
 		w.fail(errOldVersion)
 		return
 	}
-	w.seq, w.tries, w.stands = list.Seq, 0, true
+	w.seq, w.tries, w.stands, w.crowded = list.Seq, 0, true, false
 	w.lease.Answered(w.loop.Now())
 	w.pace.answered()
 	if r.keep && open {
@@ -379,7 +381,7 @@
 		w.seq = FromNothing
 	}
 	w.hangUp()
-	w.stands = false
+	w.stands, w.crowded = false, busy
 	pause := w.pauseAfter(err)
 	w.tries++
 	w.rest(pause)
@@ -404,7 +406,7 @@
 	case w.loop.Now().Before(w.hurry):
 		return w.pace.around(retryFrom)
 	case errors.Is(err, ErrBusy):
-		return w.pace.busy(w.tries)
+		return w.pace.busy(w.tries, w.lease.Ends().Sub(w.loop.Now()))
 	}
 	return w.pace.failed(w.tries)
 }
