--- a/internal/lab/coldbudget.go
+++ b/internal/lab/coldbudget.go
@@ -18,6 +18,9 @@
 	mean     float64            // work of a mean request, in seconds of a standard core
 	servers  map[string]*coldServer
 	Falls    int
+	// While clients were refused: requests of mean work that the settings allowed all cold servers, by the mean of N, and what they got.
+	Room, Used float64
+	refused    time.Time // a client was refused last
 }
 
 // coldServer is one life of a cold server.
@@ -64,9 +67,27 @@
 	return b
 }
 
+// meanAllowed is N: what the settings allow a server within their time.
+func (b *coldBudget) meanAllowed(m *fleet.Machine, now time.Time) float64 {
+	return b.multiple * m.Capacity(now) * b.within.Seconds() / b.mean
+}
+
+// lacks tells whether clients are being refused.
+func (b *coldBudget) lacks(now time.Time) bool {
+	return !b.refused.IsZero() && now.Sub(b.refused) < b.within
+}
+
+// runs takes down that a server was cold, and could be sent requests, for a while.
+func (b *coldBudget) runs(m *fleet.Machine, now time.Time, span time.Duration) {
+	if !b.lacks(now) {
+		return
+	}
+	b.Room += b.meanAllowed(m, now) * span.Seconds() / b.within.Seconds()
+}
+
 // allowed is how many requests of mean work a server may get within the settings' time.
 func (b *coldBudget) allowed(m *fleet.Machine, now time.Time) float64 {
-	n := b.multiple * m.Capacity(now) * b.within.Seconds() / b.mean
+	n := b.meanAllowed(m, now)
 	if n < fewCalls {
 		return n + 3*math.Sqrt(n) + 3
 	}
@@ -84,6 +105,9 @@
 	if !ok {
 		work = 1
 	}
+	if b.lacks(now) {
+		b.Used += work
+	}
 	s.sends = append(s.sends, coldSend{now, work, told})
 	for now.Sub(s.sends[0].at) > b.within {
 		s.sends = s.sends[1:]
--- a/internal/lab/news.go
+++ b/internal/lab/news.go
@@ -86,5 +86,20 @@
 			s.judge.asksAgain(p.virtual())
 		}
 	}
+	s.countColdRoom()
 	s.after(clockStep, s.watchClock)
 }
+
+// countColdRoom counts what cold relays may be sent, for one step of the clock.
+func (s *stage) countColdRoom() {
+	if s.judge.cold == nil {
+		return
+	}
+	now := s.world.Now()
+	for _, n := range s.nodes {
+		cold := n.relay != nil && !n.born.IsZero() && n.relay.Machine().Warmth(now) < 1
+		if health, ok := s.registry.HealthOf(n.plan.id); cold && ok && health == fleet.Serving {
+			s.judge.cold.runs(n.relay.Machine(), now, clockStep)
+		}
+	}
+}
--- a/internal/lab/requests.go
+++ b/internal/lab/requests.go
@@ -78,6 +78,9 @@
 	}
 	r.answered = true
 	word, advice := line.ParseWord(line.Text(first))
+	if word == line.Busy && j.cold != nil {
+		j.cold.refused = now
+	}
 	if word == line.Busy && !r.left {
 		ms, _ := strconv.Atoi(string(advice))
 		j.refuses(r, time.Duration(ms)*time.Millisecond)
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -58,8 +58,12 @@
 	Requests int            `json:"requests_judged"`
 	Attempts int            `json:"attempts_judged"`
 	Falls    int            `json:"cold_falls,omitempty"` // of cold relays, by what all proxies sent them; where the budget is judged
-	Events   uint64         `json:"events"`
-	Trace    string         `json:"trace"` // hash over all events
+	// While clients were refused: ColdRoom is how many requests of mean work the settings allowed cold relays that the list named,
+	// ColdUsed how many they got.
+	ColdRoom float64 `json:"cold_room,omitempty"`
+	ColdUsed float64 `json:"cold_used,omitempty"`
+	Events   uint64  `json:"events"`
+	Trace    string  `json:"trace"` // hash over all events
 
 	series series
 }
@@ -111,7 +115,7 @@
 	if s.world != nil {
 		r.Requests, r.Attempts = s.judge.Requests, s.judge.Attempts
 		if s.judge.cold != nil {
-			r.Falls = s.judge.cold.Falls
+			r.Falls, r.ColdRoom, r.ColdUsed = s.judge.cold.Falls, round(s.judge.cold.Room), round(s.judge.cold.Used)
 		}
 		r.Events, r.Trace = s.world.Events(), fmt.Sprintf("%016x", s.world.TraceSum())
 	}
