A cold server that fills faster than its budget takes no new clients

No process sees a burst in its own few requests, but the server's reported load has the sum of all: one with more load than a steady use of half of its budget would have given it by its age takes no new clients (Balancer.filled). Clients that return keep their permits.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -131,8 +131,7 @@
 	case b.thrifty:
 		b.conclude(r) // all relays together have made the further attempts that they may
 	case b.failing >= commonFail:
-		// A shared store that is slow or a fleet that is full fails everywhere: quick retries and short
-		// time-outs multiply the load that keeps it failing.
+		// What fails everywhere is kept failing by the load of quick retries.
 		b.park(now, r)
 	default:
 		b.place(now, r)
--- a/balance/moves.go
+++ b/balance/moves.go
@@ -16,9 +16,8 @@
 	reliefTo = 0.65 // ...down to this, well under the bar, so that it is not full again at once
 )
 
-// leave moves own connections off the backends that drain, evenly over leaveWithin: they would all be cut off
-// at once when these stop, and come back at once. All relays hear of a drain in
-// the same moment. Those of most worth go first, while there is surely time.
+// leave moves own connections off the backends that drain, evenly over leaveWithin, since all relays hear of
+// a drain in the same moment. Those of most worth go first, while there is surely time.
 func (b *Balancer) leave(now time.Time) {
 	b.leaving = false
 	for _, k := range b.all {
@@ -40,8 +39,7 @@
 			return cmp.Compare(b.class(than.Class).Worth, b.class(r.Class).Worth)
 		})
 		steps := max(int(k.empty.Sub(now)/leaveStep), 1)
-		// A part that is no whole number is drawn: each of many relays holds one or two there, and rounded
-		// up all of these would go in the first step, at all relays at once.
+		// A part that is no whole number is drawn: rounded up, one each of many relays would go at once.
 		part := float64(len(open))/float64(steps) + b.rng.Float64()
 		for _, r := range open[:min(int(part), len(open))] {
 			r.moved = true
@@ -53,8 +51,7 @@
 	}
 }
 
-// relieve moves own connections off an overloaded backend: there all messages are late, and work that has
-// piled up does not go away by itself. Every relay moves the same part of its own, drawn so that small
+// relieve moves own connections off an overloaded backend, the same part at every relay, drawn so that small
 // numbers add up, and then waits until reports can show what that did.
 func (b *Balancer) relieve(now time.Time, k *backend, load float64) {
 	if !(load > reliefAt) || now.Sub(k.relief) < probeEvery {
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -31,12 +31,10 @@
 	firstShare = 0.4  // part of the aim that a first attempt may take: there must be time for another
 )
 
-// seek draws a request's sample of the backends and places the request once their reports are fresh. On a
-// big fleet this takes the place of probing all: one relay's few requests do not pay for so many probes,
-// and relays that look at different samples do not herd to the same backend.
+// seek draws a request's sample of the backends and places it once their reports are fresh. Few probes are
+// paid for, and relays that look at different samples do not herd to the same backend.
 func (b *Balancer) seek(now time.Time, r *request) {
-	// Attempts that all fail for one cause (a shared store, a mass return) queue up there in vain: as in
-	// congestion control, fewer are sent at a time, down to one, until some succeed.
+	// As in congestion control, fewer are out at a time while attempts fail, down to one.
 	if float64(b.out) >= b.window {
 		b.park(now, r)
 		return
@@ -84,9 +82,8 @@
 	}
 }
 
-// drawGroup takes the backend that ranks first for the request's group by a hash, and the second; for one
-// that was held, another of the first groupRanks. All relays rank alike without a word between them, so a
-// group and its spills stay together and few backends pay for it.
+// drawGroup takes the backends that rank first and second for the request's group by a hash, alike at all
+// relays, so that few pay for the group; for a request that was held, another of the first groupRanks.
 func (b *Balancer) drawGroup(now time.Time, r *request) {
 	h, load := hash(r.Group), b.borne(now)
 	var ranks [groupRanks]uint64
@@ -132,8 +129,7 @@
 func (b *Balancer) send(now time.Time, r *request, k *backend) {
 	timeout, c := r.deadline.Sub(now), b.class(r.Class)
 	if r.attempts == 0 && b.cfg.MaxAttempts != 1 && c.Repeat != RepeatNever && b.failing < commonFail {
-		// A backend that accepts and stays silent must leave time for another try inside the aim. Where the
-		// second is slow too, it is hardly the backend: more would queue up at what all of them wait for.
+		// A backend that accepts and stays silent must leave time for another try inside the aim.
 		timeout = min(timeout, span(micros(c.Aim)*firstShare))
 	}
 	r.attempts++
@@ -150,17 +146,14 @@
 }
 
 // pick is the rule of the design: least own connections for each unit of weight, ties at random, among the
-// request's sample.
-//
-// Near saturation one more connection spoils those that a backend has. None is placed that would find less
-// than shedWeight idle points: it is held, and in the end refused.
+// request's sample. Near saturation one more spoils those that a backend has: none is placed that would
+// find less than shedWeight idle points.
 func (b *Balancer) pick(now time.Time, r *request) *backend {
 	var best *backend
 	var least float64
 	var wanted []*backend
 	ties := 0
-	// Those that fail, and slow ones, that leave probes unanswered and whose W is that of better times, won
-	// every sample. They are passed over wherever there is another: all of them can't be at fault.
+	// Those that fail or leave probes unanswered are passed over wherever there is another.
 	other := slices.ContainsFunc(r.sample, func(k *backend) bool {
 		return b.usable(now, r, k) && !k.shunned(now)
 	})
@@ -173,8 +166,7 @@
 		if !b.usable(now, r, k) || other && k.shunned(now) {
 			continue
 		}
-		// Where many relays share the backends an own count is 0 or 1 by chance and says little: what it
-		// held when it was last seen is in its weight, so only what went there since counts in full. The
+		// What it held when it was last seen is in its weight: only what went there since counts in full. The
 		// one added, as in the shortest expected delay, lets weights tell idle backends apart.
 		old := float64(len(k.held)-k.fresh) / float64(b.cfg.Balancers)
 		added := 1 + float64(k.fresh)
@@ -212,9 +204,8 @@
 	return best
 }
 
-// room is the part of the requests that want a backend which may go there. Until its next report all relays
-// read the same one: the more they are, the further they would fill it beyond what it tells, and relief
-// empties it again. The own wants times the relays tell how many to expect; its head room, how many it bears.
+// room is the part of the requests that want a backend which may go there before its next report: own
+// wants times the relays tell how many to expect, its head room how many it bears.
 func (b *Balancer) room(now time.Time, k *backend) float64 {
 	wants := k.wantsBy(now) * float64(b.cfg.Balancers) * micros(reportLag) / micros(probeEvery)
 	if !(k.each > 0) || wants <= 0 {
@@ -223,8 +214,7 @@
 	return (k.weight - shedWeight) / (fullWeight * k.each * wants)
 }
 
-// excess is a tenant's own connections here over this relay's part of its share. What is beyond the share is
-// worth little: it must find more idle points, so that it leaves room before others are turned away.
+// excess is a tenant's own connections here over this relay's part of its share.
 func (b *Balancer) excess(r *request) float64 {
 	if r.Tenant < 0 || r.Tenant >= len(b.cfg.Tenants) || b.cfg.Tenants[r.Tenant].Connections <= 0 {
 		return 0
@@ -232,10 +222,9 @@
 	return float64(b.tenants[r.Tenant]) * float64(b.cfg.Balancers) / b.cfg.Tenants[r.Tenant].Connections
 }
 
-// usable tells whether a request may go to a backend. A cold one must have told its load just now: in a wave,
-// one that is about to fall answers no probes, and its weight is that of better times.
+// usable tells whether a request may go to a backend. A cold one must have told its load just now.
 func (b *Balancer) usable(now time.Time, r *request, k *backend) bool {
 	told := !b.cfg.MayProbe || now.Sub(k.seen) < reportLag || b.warmth(now, k) >= 1
-	takes := told && b.takesNew(k) && b.withinLimit(now, k)
+	takes := told && b.takesNew(k) && b.withinLimit(now, k) && (r.Again || !b.filled(now, k))
 	return takes && !slices.Contains(r.tried, k) && b.repeatable(now, r, k)
 }
--- a/balance/retries.go
+++ b/balance/retries.go
@@ -1,5 +1,4 @@
-// What becomes of a request whose attempt failed, or that finds no room: held, tried again, or given its
-// final answer.
+// What becomes of a request whose attempt failed, or that finds no room: held, tried again, or answered.
 
 package balance
 
@@ -50,8 +49,7 @@
 	}
 }
 
-// judge counts failures in a row and ejects a backend that fails: discovery only knows whether a process
-// runs, and learns even that late.
+// judge counts failures in a row and ejects a backend that fails.
 func (b *Balancer) judge(now time.Time, k *backend, o Outcome) {
 	switch o {
 	case OK:
--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -5,13 +5,11 @@
 	"time"
 )
 
-// How much a cold backend may be sent.
-//
-// It falls when all relays together send it more than Rules.FallMultiple times what it can do within
-// Rules.FallWithin. A mass return brings one request to each of many relays within the age of one report, so
-// that no relay sees the sum. It is bounded beforehand: from its first request that wants a cold backend on,
-// each relay holds for Rules.FallWithin as many permits as it drew then. One that is not used is gone with
-// that time, and the sum is binomial however many requests come.
+// How much a cold backend may be sent. It falls when all relays together send it more than
+// Rules.FallMultiple times what it can do within Rules.FallWithin. Clients that return come one to each of
+// many relays within the age of one report, so that no relay sees the sum: from its first request that
+// wants a cold backend on, each holds for Rules.FallWithin as many permits as it drew then, and the sum is
+// bounded however many come.
 
 const (
 	permitShare   = 1.5  // of the settings' budget, computed from the slowest warm-up that they allow
@@ -21,6 +19,7 @@
 	coldShare     = 0.6  // likewise by the ranks of groups, of which a large one brings several even parts
 	heldShare     = 0.7  // of that for requests that were held: they come in waves
 	borneLeast    = 0.25 // load that the warm backends are taken to bear at the least
+	fillShare     = 0.5  // part of the fall multiple at which new clients fill a cold backend; see filled
 )
 
 // permits are what one relay may send to one cold backend until they lapse.
@@ -41,8 +40,7 @@
 	}
 	next := permits{lapse: now.Add(b.cfg.Rules.FallWithin)}
 	if last.denied && now.Sub(last.lapse) < b.cfg.Rules.FallWithin {
-		// By now reports show what all relays sent in the last term; the mean falls with the idle part that
-		// they tell.
+		// By now reports show what all sent in the last term: the mean falls with the idle part.
 		next.doublings = min(last.doublings+1, mostDoublings)
 	}
 	mean := b.meanPermits(now, k) * float64(int64(1)<<next.doublings)
@@ -54,11 +52,10 @@
 	k.permits = next
 }
 
-// meanPermits is the mean number of permits that this relay draws for a cold backend. All relays together
-// hold a share of what the rules allow: a backend takes connections no faster than fills it over its warm-up,
-// and it is full with as many as a warm one holds, over the load that this one reports. A relay's part of
-// these is what it holds itself. Where many relays share few connections, only some of them see a client of
-// the largest return: these may use the permits of the others.
+// meanPermits is the mean number of permits that this relay draws for a cold backend, its part of what the
+// rules allow: one takes connections no faster than fills it over its warm-up, and is full with as many as
+// a warm one holds, over the load that this one reports. Where many relays share few connections, only some
+// of them see a client of the largest return: these may use the permits of the others.
 func (b *Balancer) meanPermits(now time.Time, k *backend) float64 {
 	rules := b.cfg.Rules
 	if rules.WarmWithin <= 0 || len(b.ready) == 0 {
@@ -78,6 +75,18 @@
 	return permitShare * full * budget * k.weight / fullWeight
 }
 
+// filled tells whether a cold backend has as much load as a steady use of its budget would have given it.
+// In a burst of new clients each of many relays sees one or none, while the reported load has their sum.
+func (b *Balancer) filled(now time.Time, k *backend) bool {
+	w, rules := b.warmth(now, k), b.cfg.Rules
+	if w >= 1 {
+		return false
+	}
+	steady := (rules.ColdFrom + w) / 2 * micros(now.Sub(k.Boot)) / w // its age, at the mean of its warmth
+	most := fillShare * rules.FallMultiple * (steady + micros(rules.FallWithin)) / micros(rules.WarmWithin)
+	return 1-k.weight/fullWeight > most
+}
+
 // mayReturn tells whether a returning client's request may go to a cold backend.
 func (b *Balancer) mayReturn(now time.Time, k *backend) bool {
 	b.renewPermits(now, k)
@@ -135,10 +144,9 @@
 }
 
 // mayTake draws whether a request may go to a backend by its group's rank; a warm one always may. The even
-// part of the new connections is what fills a warm one to the load that is reported. A cold one gets as many
-// times that as its warmth allows for, at a part of the fall multiple, at all relays together. That needs no
-// luck of a relay's own: its connections may end once in a minute, while the cold one warms up in twenty
-// seconds and the warm ones are overloaded. Clients that return come all at once, and need permits.
+// part of the new connections fills a warm one to the load that is reported; a cold one gets as many times
+// that as its warmth allows for, at a part of the fall multiple, at all relays together. Clients that
+// return need permits.
 func (b *Balancer) mayTake(now time.Time, r *request, k *backend, load float64) bool {
 	w := b.warmth(now, k)
 	if w >= 1 {
@@ -147,6 +155,9 @@
 	if r.Again {
 		return b.mayReturn(now, k)
 	}
+	if b.filled(now, k) {
+		return false
+	}
 	p := w / load * b.cfg.Rules.FallMultiple * coldShare * k.weight / fullWeight // what it has already counts
 	if r.parks > 0 {
 		p *= heldShare
@@ -154,11 +165,10 @@
 	return b.rng.Float64() < p
 }
 
-// offer follows an own connection that ended well at a warm backend. A cold one gets new connections in no
-// other way: it looks emptiest to every relay at once, and the requests of a bad time come again and again.
-// But what ends well was borne by the warm ones. The part of it that one of them bears, times a cold one's
-// warmth, is within what that may be sent, and is so at each relay alone. (When this was shared out over the
-// cold ones too, which bear nothing yet, most of a fleet that was enlarged threefold stood idle.)
+// offer follows an own connection that ended well at a warm backend. Outside groups a cold one gets new
+// connections in no other way: it looks emptiest to every relay at once. What ends well was borne by the
+// warm ones, and the part that one of them bears, times a cold one's warmth, is within what that may be
+// sent, at each relay alone.
 func (b *Balancer) offer(now time.Time, ended *backend) {
 	if b.warmth(now, ended) < 1 {
 		return
--- a/balance/state.go
+++ b/balance/state.go
@@ -120,8 +120,7 @@
 	b.hold(r, k)
 }
 
-// Held tells how many own connections and attempts a backend has by the relay's count, for a host that
-// compares it with its sockets.
+// Held tells how many own connections and attempts a backend has by the relay's count.
 func (b *Balancer) Held(id string) int {
 	if k := b.byID[id]; k != nil {
 		return len(k.held)
@@ -231,8 +230,7 @@
 	}
 }
 
-// Thrifty says whether all relays together have made as many further attempts as they may: while it is on, a
-// request whose attempt failed has its final answer at once.
+// Thrifty says whether a request whose attempt failed has its final answer at once.
 func (b *Balancer) Thrifty(on bool) { b.thrifty = on }
 
 // shunned tells whether it failed of late, or left its last probe unanswered.
@@ -240,9 +238,7 @@
 	return k.missed || now.Before(k.until) || now.Before(k.told)
 }
 
-// Told takes what other relays know of a backend, of which this one may have seen nothing yet: until then it
-// counts as one that failed of late, and is passed over wherever there is another. A time that is over takes
-// that back.
+// Told has a backend count as one that failed of late until then, by what other relays know of it.
 func (b *Balancer) Told(id string, until time.Time) {
 	if k := b.byID[id]; k != nil {
 		k.told = until
@@ -282,8 +278,7 @@
 	delete(b.requests, r.ID)
 }
 
-// micros and span turn spans into numbers and back. Hosts count timers in whole microseconds: one that the
-// module meant to be longer by a fraction would go off early and pass for stale.
+// micros and span turn spans into numbers and back, in whole microseconds, in which hosts count timers.
 func micros(d time.Duration) float64 { return float64(d / time.Microsecond) }
 func span(us float64) time.Duration  { return time.Duration(us) * time.Microsecond }
 
--- a/internal/lab/throng_test.go
+++ b/internal/lab/throng_test.go
@@ -7,6 +7,10 @@
 
 // On throng days no rule breaks: not the clocks for news that does not arrive, nor the budget of cold servers over the fleet; and the
 // clients are served meanwhile.
+//
+// It failed at seed 4, as in 3 of 120 plays by hand: "cold-budget: relay-006, at 0.30 of its capacity, gets 9.5 requests of mean work in
+// 1.5s, ... it bears 8.7". In a burst of new clients each process sent a cold server one at the most, and all of them too many. A server
+// whose load is beyond a steady use of its budget takes no new clients now (balance, filled): 0 of 480 plays.
 func TestThrongKeepsTheRules(t *testing.T) {
 	slow(t)
 	file, err := Read("../../lab/throng.ini")
