Counters tell which requests reach servers that are warming up

Change: counters HopsColdReconnect and HopsColdFurther, one more line at the end of what SIGUSR1 and the planned stop print.

--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -348,11 +348,22 @@
 	}
 	e.counters.CountListAge(e.loop.Now().Sub(known))
 	if !to.StartedAt.IsZero() && e.loop.Now().Sub(to.StartedAt) < e.settings.Config.Rules.WarmUpTime {
-		e.counters.HopsCold++
+		e.countColdHop(x)
 	}
 	x.client.Hop(to, wait)
 }
 
+// countColdHop counts a hop to a target that is still warming up.
+func (e *Engine) countColdHop(x *Exchange) {
+	e.counters.HopsCold++
+	switch {
+	case x.hopCount > 1:
+		e.counters.HopsColdFurther++
+	case x.request.Reconnect:
+		e.counters.HopsColdReconnect++
+	}
+}
+
 // Probed takes the outcome of a probe.
 func (e *Engine) Probed(id string, o balance.Outcome, rep balance.Report) {
 	if o != balance.OK {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -31,6 +31,10 @@
 	// ProbesRefused: those of ProbesFailed that the target refused. WatchesBusy: those of
 	// WatchesFailed that discovery refused.
 	HopsCold, MovesDrain, ProbesRefused, WatchesBusy int
+	// Those of HopsCold that carried a client that lost or was moved off an earlier connection
+	// (HopsColdReconnect), and those after the first hop of a request (HopsColdFurther). The others
+	// are first hops of new clients.
+	HopsColdReconnect, HopsColdFurther int
 	// Lists of targets that another process forwarded: accepted, and rejected as old or unreadable.
 	ListsHeard, ListsRefused int
 	// ProbesAsked: requests to the process that owns the probes of a target, sent instead of an own
@@ -145,4 +149,6 @@
 		c.ListAgeQuarter, c.ListAgeHalf, c.ListAge1, c.ListAge2, c.ListAge3, c.ListAge5, c.ListAge10, c.ListAge20, c.ListAgeMore)
 	fmt.Fprintf(w, "troubles: probes-failed=%d watches-failed=%d silent=%d out-of-descriptors=%d reloads=%d garbled=%d list-waits=%d lists-expired=%d\n",
 		c.ProbesFailed, c.WatchesFailed, c.Silent, c.Full, c.Reloads, c.Garbled, c.ListWaits, c.ListsExpired)
+	fmt.Fprintf(w, "hops to cold targets: new=%d reconnect=%d further=%d\n",
+		c.HopsCold-c.HopsColdReconnect-c.HopsColdFurther, c.HopsColdReconnect, c.HopsColdFurther)
 }
--- a/internal/stats/stats_test.go
+++ b/internal/stats/stats_test.go
@@ -1,6 +1,7 @@
 package stats
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -24,3 +25,14 @@
 		t.Errorf("age of 1 h: quantile 1 is %v, want 40s; ListAgeMore is %d, want 1", c.ListAgeQuantile(1), c.ListAgeMore)
 	}
 }
+
+// The line on hops to cold targets tells new clients, reconnecting clients and further hops apart;
+// together they are all such hops.
+func TestColdHopsArePrintedByKind(t *testing.T) {
+	c := Counters{HopsCold: 9, HopsColdReconnect: 3, HopsColdFurther: 2}
+	var text strings.Builder
+	c.Print(&text)
+	if want := "hops to cold targets: new=4 reconnect=3 further=2\n"; !strings.HasSuffix(text.String(), want) {
+		t.Errorf("got %q, want %q at the end", text.String(), want)
+	}
+}
