--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -78,27 +78,50 @@
 		g.scheduleArrival()
 		return
 	}
-	g.arrivals++
-	t := g.config.Traffic
 	share, class := g.rng.Float64(), 0
 	for ; class < len(g.config.Classes)-1 && share >= g.config.Classes[class].Share; class++ {
 		share -= g.config.Classes[class].Share
 	}
 	group := sort.SearchFloat64s(g.cumulativeGroupShares, g.rng.Float64()*g.cumulativeGroupShares[len(g.cumulativeGroupShares)-1])
+	g.addClient(class, fmt.Sprintf("%s-%d", g.config.Site, group), g.rng)
+	g.scheduleArrival()
+}
+
+// addClient adds a client that connects now. What it wants is drawn from rng.
+func (g *LoadGenerator) addClient(class int, group string, rng *rand.Rand) {
+	g.arrivals++
+	t := g.config.Traffic
 	c := &client{
 		generator: g, class: class, index: len(g.clients), arrived: g.loop.Now(),
-		group:         fmt.Sprintf("%s-%d", g.config.Site, group),
+		group:         group,
 		key:           fmt.Sprintf("%s%d", g.config.Site, g.arrivals),
-		remaining:     seconds(g.rng.ExpFloat64() * t.MeanLife.Seconds() * g.config.Classes[class].LifeFactor),
-		honoursAdvice: g.rng.Float64() < t.HonourFraction,
-		impatient:     g.rng.Float64() < t.ImpatientFraction,
+		remaining:     seconds(rng.ExpFloat64() * t.MeanLife.Seconds() * g.config.Classes[class].LifeFactor),
+		honoursAdvice: rng.Float64() < t.HonourFraction,
+		impatient:     rng.Float64() < t.ImpatientFraction,
 	}
-	c.pcg.Seed(g.config.Seed, g.rng.Uint64())
+	c.pcg.Seed(g.config.Seed, rng.Uint64())
 	c.timer.Fire = c.onTimer
 	g.clients = append(g.clients, c)
 	g.ledger.Counts.Clients++
 	c.connect()
-	g.scheduleArrival()
+}
+
+// StartGroup adds a group of the given name whose clients, all new and of the first class, connect
+// evenly within a time, as the controllers of a plant do when it is switched on. What they want is
+// drawn from rng.
+func (g *LoadGenerator) StartGroup(group string, clients int, within time.Duration, rng *rand.Rand) {
+	var timer poll.Timer
+	left := clients
+	timer.Fire = func() {
+		if g.stopped {
+			return
+		}
+		g.addClient(0, group, rng)
+		if left--; left > 0 {
+			g.loop.After(&timer, within/time.Duration(clients))
+		}
+	}
+	g.loop.After(&timer, 0)
 }
 
 // Stop ends the arrivals. Clients that have arrived stay.
--- a/internal/fleet/ledger.go
+++ b/internal/fleet/ledger.go
@@ -51,6 +51,7 @@
 	Crossing        int `json:"crossing"` // requests from a proxy of another site
 	Probes          int `json:"probes"`
 	FaultErrors     int `json:"failing"` // requests that failing relays answered with an error
+	SilentLines     int `json:"silent"`  // connections on which a relay left a line unanswered; see CutOutput
 }
 
 // notServingKey identifies a relay and the proxy that discovery told of it.
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -102,6 +102,16 @@
 // at once. Nothing else about the relay shows that it fails.
 func (r *Relay) SetErrorFraction(fraction float64) { r.errorFraction = fraction }
 
+// MaxSilentConnection is the time within which a proxy must end or move a connection on which a
+// running relay returns nothing.
+const MaxSilentConnection = 7*time.Second + 50*time.Millisecond
+
+const (
+	messageAnswer = "seen\r\n" // to a client's line
+	// maxOutputBeforeCut is above the length of a few lines, so that a cut falls anywhere in them.
+	maxOutputBeforeCut = 48 // bytes
+)
+
 // SetSilent makes the relay stop reading and writing, or resume. It stands for a machine that
 // vanished, where the network cannot emulate that.
 func (r *Relay) SetSilent(on bool) {
@@ -111,6 +121,16 @@
 	}
 }
 
+// CutOutput makes the relay stop answering on a fraction of its established connections, 0 to 1,
+// after any byte of what it writes there next. It goes on to read, and to serve other connections.
+func (r *Relay) CutOutput(fraction float64) {
+	for _, s := range r.sessions {
+		if s.established && !s.outputLimited && r.rng.Float64() < fraction {
+			s.outputLimited, s.outputLeft = true, r.rng.IntN(maxOutputBeforeCut)
+		}
+	}
+}
+
 // Stop closes the listener and resets all connections.
 func (r *Relay) Stop() {
 	r.listener.Close()
@@ -206,6 +226,9 @@
 	nextLoadChange   time.Time   // time of the load's next change
 	refuseAtDeadline bool        // it cannot be set up by the client's deadline and gets BUSY then
 	answerTimes      []time.Time // when its pending messages are to be answered, in order
+	outputLimited    bool        // only outputLeft more bytes are written, see CutOutput
+	outputLeft       int
+	silentSince      time.Time // when it first failed to answer a line; zero: it has answered all
 	timer            poll.Timer
 }
 
@@ -259,6 +282,9 @@
 	now := r.loop.Now()
 	switch {
 	case s.established:
+		if s.outputLimited && r.rng.IntN(2) == 0 {
+			s.changeLoad() // the connection's load changes with the client's work
+		}
 		s.answerTimes = append(s.answerTimes, now.Add(r.machine.Delay(now, r.rng)))
 		s.armTimer()
 	case s.requested:
@@ -343,7 +369,10 @@
 		}
 		for len(s.answerTimes) > 0 && !s.answerTimes[0].After(now) && !s.closed {
 			s.answerTimes = s.answerTimes[1:]
-			if s.write("seen\r\n") != nil {
+			if s.outputLimited && s.outputLeft < len(messageAnswer) && s.silentSince.IsZero() {
+				s.fallSilent()
+			}
+			if s.write(messageAnswer) != nil {
 				s.close()
 			}
 		}
@@ -418,10 +447,27 @@
 	s.close()
 }
 
+// fallSilent records that a line is not answered for want of outputLeft, and checks that the proxy
+// ends or moves the connection in time.
+func (s *relaySession) fallSilent() {
+	r := s.relay
+	s.silentSince = r.loop.Now()
+	r.ledger.Counts.SilentLines++
+	r.loop.After(&poll.Timer{Fire: func() {
+		if !s.closed && !r.silent {
+			r.ledger.reportViolation("silent-kept", "%s returned nothing for request %s for %v, and its connection still stands", r.config.ID, s.request.ID, MaxSilentConnection)
+		}
+	}}, MaxSilentConnection)
+}
+
 func (s *relaySession) write(text string) error {
 	if s.closed {
 		return nil
 	}
+	if s.outputLimited {
+		text = text[:min(len(text), s.outputLeft)]
+		s.outputLeft -= len(text)
+	}
 	if len(s.output) > 0 {
 		s.output = append(s.output, text...)
 		return nil
--- a/internal/lab/crowds.go
+++ b/internal/lab/crowds.go
@@ -1,6 +1,8 @@
 package lab
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"ospreyspan/internal/fleet"
@@ -37,3 +39,17 @@
 		return func() error { return loop.Turn(true) }, nil
 	})
 }
+
+// startGroups starts Count groups at the sites in turn, Every after each other. Each has Size new
+// clients, which connect within For.
+func (s *stage) startGroups(t *Fault, at time.Duration, r *rand.Rand) {
+	for i := range t.Count {
+		c := s.crowds[i%len(s.crowds)]
+		name := fmt.Sprintf("%s-%s-%d-%d", c.site, t.Name, at.Milliseconds(), i)
+		clients, within := int(t.Size.Draw(r)), t.For.Draw(r)
+		stream := randomStream(s.seed, "group "+name)
+		s.after(at+time.Duration(i)*t.Every, func() {
+			c.post(func() { c.crowd.StartGroup(name, clients, within, stream) })
+		})
+	}
+}
--- a/internal/lab/fuzz.go
+++ b/internal/lab/fuzz.go
@@ -103,7 +103,7 @@
 
 // ScenarioGenerators returns the generators by the names that the flag --days accepts.
 func ScenarioGenerators() map[string]ScenarioGenerator {
-	return map[string]ScenarioGenerator{"any": RandomScenario, "throng": RandomThrong}
+	return map[string]ScenarioGenerator{"any": RandomScenario, "throng": RandomThrong, "cut-output": RandomCutOutput}
 }
 
 // RandomScenario generates a small fleet with a few faults of any kind, which may overlap in any
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -48,6 +48,8 @@
 //	                       refused, since a refusal invites the client to repeat it
 //	standing-lost          an established connection is not closed without MOVE while its
 //	                       relay answers
+//	silent-kept            an established connection on which a running relay returns
+//	                       nothing is ended or moved within fleet.MaxSilentConnection
 //	counts                 the proxy's own counts equal those of the sockets
 //	given-back             every descriptor, timer and table entry is released
 type judge struct {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -194,12 +194,12 @@
 // Fault is a failure or disturbance that is injected into a day.
 type Fault struct {
 	Name        string
-	Kind        string              `ini:"kind" one:"silence, slow, failing, relimit, neighbour, costly, drain, lose, grow, proxy-restart, proxy-kill, partition, isolate, stall, late-clock, descriptors, ports, rude, late-connects, leaving, discovery-down, discovery-hang, discovery-late, discovery-queue, watches-silent"`
+	Kind        string              `ini:"kind" one:"silence, slow, cut-output, failing, relimit, neighbour, costly, drain, lose, grow, proxy-restart, proxy-kill, partition, isolate, stall, late-clock, descriptors, ports, rude, late-connects, leaving, group-start, discovery-down, discovery-hang, discovery-late, discovery-queue, watches-silent"`
 	At          fleet.DurationRange `ini:"at"`
 	For         fleet.DurationRange `ini:"for"`
 	Part        fleet.Range         `ini:"part" min:"0" max:"1"` // share of the relays, proxies or connections
 	Count       int                 `ini:"count" min:"0"`        // instead of Part
-	Size        fleet.Range         `ini:"size" min:"0"`         // slowdown, cost factor, machine share, descriptors or clients per second
+	Size        fleet.Range         `ini:"size" min:"0"`         // slowdown, cost factor, machine share, descriptors, clients per second or of a group
 	Away        fleet.DurationRange `ini:"away"`                 // until what was stopped starts again
 	Every       time.Duration       `ini:"every"`                // between one proxy or relay and the next
 	Class       string              `ini:"class"`
@@ -351,11 +351,11 @@
 	f.Decode(section, &t)
 	s.checkSites(f, section, t.Sites)
 	needs := map[string][]string{
-		"silence": {"for"}, "slow": {"for", "size"}, "failing": {"for", "size"}, "relimit": {"size"}, "neighbour": {"for", "size"}, "costly": {"for", "size", "part", "class"},
+		"silence": {"for"}, "slow": {"for", "size"}, "cut-output": {"size"}, "failing": {"for", "size"}, "relimit": {"size"}, "neighbour": {"for", "size"}, "costly": {"for", "size", "part", "class"},
 		"drain": {"for", "away"}, "grow": {"count"}, "proxy-restart": {"away"}, "proxy-kill": {"away"},
 		"partition": {"for", "sites"}, "isolate": {"for"}, "stall": {"for"}, "late-clock": {"for", "away"},
 		"descriptors": {"for", "size"}, "ports": {"for"}, "rude": {"for", "size"}, "discovery-down": {"for"},
-		"late-connects": {"for", "size", "away"}, "leaving": {"for", "size"},
+		"late-connects": {"for", "size", "away"}, "leaving": {"for", "size"}, "group-start": {"count", "for", "size"},
 		"discovery-hang": {"for"}, "discovery-late": {"for", "away"}, "discovery-queue": {"for"},
 	}
 	switch {
@@ -377,7 +377,7 @@
 	if t.Kind == "neighbour" && t.Size.To > 0.95 {
 		f.AddProblem(section, "size", "more than 0.95 of a machine")
 	}
-	if (t.Kind == "failing" || t.Kind == "late-connects" || t.Kind == "leaving") && t.Size.To > 1 {
+	if (t.Kind == "failing" || t.Kind == "late-connects" || t.Kind == "leaving" || t.Kind == "cut-output") && t.Size.To > 1 {
 		f.AddProblem(section, "size", "more than 1")
 	}
 	if t.Repeats > 0 && t.RepeatAfter.To <= 0 {
--- a/internal/lab/troubles.go
+++ b/internal/lab/troubles.go
@@ -47,6 +47,10 @@
 		for i, p := range s.proxies {
 			s.after(at+time.Duration(i)*t.Every, func() { s.setLimit(p, int(size)) })
 		}
+	case "cut-output":
+		for _, n := range s.pickRelays(t, r) {
+			s.after(at, func() { n.cutOutput(size) })
+		}
 	case "neighbour":
 		for _, n := range s.pickRelays(t, r) {
 			phase := t.Every
@@ -142,6 +146,8 @@
 		for _, c := range s.crowds {
 			s.during(at, span, func() { c.crowd.SetEarlyLeaveFraction(size) }, func() { c.crowd.SetEarlyLeaveFraction(0) })
 		}
+	case "group-start":
+		s.startGroups(t, at, r)
 	case "discovery-down":
 		s.during(at, span, s.discovery.host.Kill, func() {
 			s.recordError(s.startDiscovery())
@@ -266,6 +272,13 @@
 	}
 }
 
+// cutOutput makes a relay stop answering on a part of its connections, after any byte.
+func (n *relayNode) cutOutput(part float64) {
+	if r := n.relay; r != nil {
+		n.post(func() { r.CutOutput(part) })
+	}
+}
+
 // silenceRelay makes a relay's machine vanish. It returns cold, with a new process under the same
 // id.
 func (s *stage) silenceRelay(n *relayNode, at, span time.Duration, r *rand.Rand) {
