A connection that falls silent behind a LOAD line is moved

Cause: checkSilence in internal/proxy/standing.go asked whether the last line of any kind was older than the client's line. A LOAD behind it never is again, and it does not answer the line: arrival was taken for an answer. Change: isSilent counts 4 s from the last line of any kind, and 4.5 s from the oldest unanswered line whatever else came; 2 s between lines, 4.5 s, a check in 0.4 s and 0.05 s of lateness are 6.95 s.

--- a/internal/lab/planted_test.go
+++ b/internal/lab/planted_test.go
@@ -101,6 +101,12 @@
 		function: "func (w *Watch) pauseAfter(err error) time.Duration", to: "	return w.pacer.jitter(4 * w.pacer.initialMaxWait)\n",
 		days: "throng", set: []string{"rules.cold_budget=false"}, rules: []string{"ask-again", "stale-list"},
 	},
+	{
+		name: "a load line passes for an answer", file: "internal/proxy/standing.go",
+		function: "func (h *hop) isSilent(now time.Time) bool",
+		to:       "	return h.lastHeard.Before(h.pendingSince) && now.Sub(h.pendingSince) >= maxSilence\n",
+		days:     "cut-output", rules: []string{"silent-kept"},
+	},
 	{
 		name: "a cold target passes for a warm one", file: "balance/slowstart.go",
 		function: "func (b *Balancer) warmUpFraction(now time.Time, k *backend) float64", to: "	return 1\n",
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -32,11 +32,11 @@
 	dialDeadline   time.Time // for the connection to be established
 	timer          poll.Timer
 	// The following fields are used once the connection is established.
-	pendingSince  time.Time       // when the oldest unanswered line was sent; zero: none
-	lastHeard     time.Time       // when the target's last line arrived
-	checkAt       time.Time       // when the timer is due
-	targetOutcome balance.Outcome // announced by the target with BYE or MOVE
-	endAnnounced  bool            // targetOutcome is valid
+	pendingSince   time.Time       // when the oldest unanswered line was sent; zero: none
+	lastHeard      time.Time       // when the target's last line arrived, whether it answers anything or not
+	checkAt        time.Time       // when the timer is due
+	endAnnouncedAt time.Time       // when the target announced the end with BYE or MOVE; zero: it did not
+	targetOutcome  balance.Outcome // that it announced
 }
 
 // dialRetryDelay is the pause before a connection is tried again that this machine could not begin
@@ -286,7 +286,7 @@
 		}
 		s.endHop()
 		s.exchange.Ended(h.outcome(balance.Broken), noReport)
-		if h.endAnnounced { // a reset must not overtake the target's last line
+		if !h.endAnnouncedAt.IsZero() { // a reset must not overtake the target's last line
 			s.closeAfter(nil)
 			return
 		}
--- a/internal/proxy/standing.go
+++ b/internal/proxy/standing.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// maxSilence is how long a client's line may stay unanswered while the target still sends data
-	// on other connections.
+	// maxSilence is how long a connection on which a client's line is unanswered may stay silent
+	// while the target still sends data on other connections.
 	maxSilence = 4 * time.Second
+	// maxUnanswered is how long a client's line may stay unanswered while the target sends lines on
+	// the same connection that answer nothing, such as LOAD.
+	maxUnanswered = maxSilence + 500*time.Millisecond
 	// lateCheckTolerance is by how much a check may be late and still be valid: a process that did
 	// not run has to read first what arrived meanwhile.
 	lateCheckTolerance = 50 * time.Millisecond
@@ -59,9 +62,9 @@
 				s.exchange.Load(level)
 			}
 		case line.Bye:
-			h.targetOutcome, h.endAnnounced = balance.OK, true
+			h.announceEnd(balance.OK)
 		case line.Move:
-			h.targetOutcome, h.endAnnounced = balance.Cancelled, true
+			h.announceEnd(balance.Cancelled)
 		default:
 			h.measureDelay()
 		}
@@ -76,6 +79,16 @@
 	}
 }
 
+// announceEnd records that the target has announced the end of the connection. The end itself may
+// not come from a target that hangs, so it is checked for.
+func (h *hop) announceEnd(o balance.Outcome) {
+	if h.endAnnouncedAt.IsZero() {
+		h.endAnnouncedAt = h.session.frontend.loop.Now()
+		h.scheduleCheck(h.session.frontend.engine.tuning.SilentAfter)
+	}
+	h.targetOutcome = o
+}
+
 // maxPendingReads is how often a target is read before its link is closed. It bounds what is kept
 // for the client.
 const maxPendingReads = 4
@@ -122,29 +135,45 @@
 	h.session.exchange.Delay(took)
 }
 
-// checkSilence checks a client's line that has no answer yet. Half-way to Tuning.SilentAfter it
-// reports the delay to the module, which has the target probed; a silent target's client is moved.
+// checkSilence checks a client's line that has no answer yet, and a connection whose end the target
+// has announced. Half-way to Tuning.SilentAfter it reports the delay to the module, which has the
+// target probed; a silent target's client is moved.
 func (h *hop) checkSilence() {
+	f := h.session.frontend
+	now := f.loop.Now()
+	if !h.endAnnouncedAt.IsZero() && now.Sub(h.endAnnouncedAt) >= f.engine.tuning.SilentAfter {
+		h.handleEOF()
+		return
+	}
 	if h.pendingSince.IsZero() {
 		return
 	}
-	f := h.session.frontend
-	now := f.loop.Now()
-	took := now.Sub(h.pendingSince)
-	late := now.Sub(h.checkAt) > lateCheckTolerance
-	if !late && h.lastHeard.Before(h.pendingSince) && (took >= maxSilence || took >= f.engine.tuning.SilentAfter && h.target.lastHeard.Before(h.pendingSince)) {
+	if late := now.Sub(h.checkAt) > lateCheckTolerance; !late && h.isSilent(now) {
 		f.counters.Silent++
 		if !h.target.silent {
 			h.target.silent = true
-			f.log.Printf("egress target %s: no data for %v; moving its clients", h.target.id, took.Round(time.Millisecond))
+			f.log.Printf("egress target %s: no answer for %v; moving its clients", h.target.id, now.Sub(h.pendingSince).Round(time.Millisecond))
 		}
 		h.session.endGracefully(balance.Broken)
 		return
 	}
-	h.reportDelay(took)
+	h.reportDelay(now.Sub(h.pendingSince))
 	h.scheduleCheck(f.engine.tuning.SilentAfter / 2)
 }
 
+// isSilent reports whether the target has stopped answering on this connection, on which a client's
+// line is unanswered. Lines that answer nothing, as LOAD, show that the target was alive when it
+// sent them; they do not show that it still works on the client's line.
+func (h *hop) isSilent(now time.Time) bool {
+	quietSince := h.pendingSince
+	if h.lastHeard.After(quietSince) {
+		quietSince = h.lastHeard
+	}
+	unanswered := now.Sub(h.pendingSince)
+	targetSilent := h.target.lastHeard.Before(h.pendingSince) && unanswered >= h.session.frontend.engine.tuning.SilentAfter
+	return targetSilent || now.Sub(quietSince) >= maxSilence || unanswered >= maxUnanswered
+}
+
 // scheduleCheck sets the timer for the next checkSilence.
 func (h *hop) scheduleCheck(d time.Duration) {
 	loop := h.session.frontend.loop
@@ -165,7 +194,7 @@
 // if the client has closed its sending side, and the given outcome otherwise.
 func (h *hop) outcome(otherwise balance.Outcome) balance.Outcome {
 	switch {
-	case h.endAnnounced:
+	case !h.endAnnouncedAt.IsZero():
 		return h.targetOutcome
 	case h.session.clientEOF:
 		return balance.Cancelled
