All requests to a cold server need permits, so that their sum is bounded

Cause: balance/slowstart.go. mayTakeByRank drew for each new client by itself with a chance that holds for clients spread over all servers, and totalLimit left each process one request in OverloadWindow, so that the sum grew with processes. Evidence: the counters of 28 processes after the burst: 16 had sent one first hop of a new client, 12 none; no reconnecting client, no further attempt. Room is used by requests that spill to a cold server with a permit; new clients may fill it up to a steady use of the whole budget. Tests that changed: TestPermitsDoubleWhileReconnectsAreDenied demanded the doublings, TestDenialsDoNotRaiseTheSum bounds the sum in its place. The last check of TestColdBackendIsChosenByIdleCapacity compared returning clients with new ones that had no permits; it bounds the share of the new ones now.

--- a/balance/placement.go
+++ b/balance/placement.go
@@ -120,15 +120,15 @@
 // drawGroupSample takes the backends that rank first and second for the request's group. The ranks
 // are hashes (rendezvous hashing) and the same at all relays, so that few backends have to set up a
 // group. For a request that was held, the second is a random one of the first groupCandidates
-// without the first.
+// without the first, and a cold backend that takes requests which spill follows.
 func (b *Balancer) drawGroupSample(now time.Time, r *request) {
-	groupHash, load := hash(r.Group), b.meanWarmLoad(now)
+	groupHash, summary := hash(r.Group), b.summarize(now)
 	var ranks [groupCandidates]uint64
 	for _, k := range b.ready {
 		rank := mix(groupHash ^ k.idHash)
 		n := len(r.sample)
 		if n == groupCandidates && rank <= ranks[n-1] || k.unhealthy(now) ||
-			!b.mayTakeByRank(now, r, k, load) {
+			!b.mayTakeByRank(now, r, k, summary) {
 			continue
 		}
 		if n < groupCandidates {
@@ -147,6 +147,25 @@
 		}
 		r.sample = r.sample[:2]
 	}
+	if k := b.spillBackend(now, r, groupHash, summary); k != nil {
+		r.sample = append(r.sample, k)
+	}
+}
+
+// spillBackend returns the cold backend that ranks first for a group among those that take requests
+// which spill and are not in the request's sample yet. It returns nil if there is none.
+func (b *Balancer) spillBackend(now time.Time, r *request, groupHash uint64, s fleetSummary) *backend {
+	var first *backend
+	var firstRank uint64
+	for _, k := range b.ready {
+		rank := mix(groupHash ^ k.idHash)
+		if first != nil && rank <= firstRank || k.unhealthy(now) || slices.Contains(r.sample, k) ||
+			!b.mayTakeSpilled(now, r, k, s) {
+			continue
+		}
+		first, firstRank = k, rank
+	}
+	return first
 }
 
 // place sends a request to the backend that pick chooses. It holds the request if there is none,
@@ -176,7 +195,9 @@
 	}
 	r.attempts++
 	r.sentAt = now
-	k.permits.used++
+	if b.warmUpFraction(now, k) < 1 {
+		k.coldSends = append(k.coldSends, now)
+	}
 	b.pendingAttempts++
 	r.tried = append(r.tried, k)
 	b.assign(r, k)
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -745,17 +745,20 @@
 	}
 }
 
-// A cold backend is chosen with a probability proportional to its idle capacity, and less often for
-// reconnecting clients: 15 connections of such clients came within 1.3 s to a backend that already
-// reported a load of 0.5 to 0.8. New clients do not get it at all while its load is higher than a
-// steady use of its budget can have made it: half of its capacity 2 s after its start.
+// A cold backend is chosen with a probability proportional to its idle capacity: 15 connections of
+// reconnecting clients came within 1.3 s to a backend that already reported a load of 0.5 to 0.8. A
+// new client has no better chance than a reconnecting one: those of a group may come all at once.
+// New clients do not get the backend at all while its load is higher than a steady use of its budget
+// can have made it: half of its capacity 2 s after its start.
 func TestColdBackendIsChosenByIdleCapacity(t *testing.T) {
-	s := startBalancer(t, testConfig(), 1, 1)
+	cfg := testConfig()
+	cfg.GroupAffinity = true
+	s := startBalancer(t, cfg, 1, 1)
 	s.b.DiscoveryUpdate(s.now, ListPatch, []Backend{{ID: "cold", Zone: "here", StartTime: s.now.Add(-2 * sec)}})
 	k := s.b.byID["cold"]
 	k.weight = fullWeight / 2
 	for range 1000 {
-		if s.b.mayTakeByRank(s.now, &request{}, k, 1) {
+		if s.b.mayTakeByRank(s.now, &request{}, k, s.b.summarize(s.now)) {
 			t.Fatal("a new client may go to a backend at half load 2 s after its start")
 		}
 	}
@@ -765,7 +768,7 @@
 		k.weight = weight
 		for range 20000 {
 			k.permits = permits{} // as at another relay
-			if s.b.mayTakeByRank(s.now, &request{Request: Request{Reconnect: reconnect}}, k, 1) {
+			if s.b.mayTakeByRank(s.now, &request{Request: Request{Reconnect: reconnect}}, k, s.b.summarize(s.now)) {
 				n++
 			}
 		}
@@ -776,8 +779,8 @@
 			t.Errorf("reconnect %v: at half load, got %.2f of an idle backend's share, want 0.45 to 0.55", reconnect, r)
 		}
 	}
-	if r := part(fullWeight, true) / part(fullWeight, false); r > 0.7 {
-		t.Errorf("reconnecting clients got %.2f of the share of new ones, want at most 0.7", r)
+	if r := part(fullWeight, false) / part(fullWeight, true); r > 1.05 {
+		t.Errorf("new clients got %.2f of the share of reconnecting ones, want at most 1.05", r)
 	}
 }
 
--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
 // Slow start: how many requests a cold backend gets. It is overloaded if all relays together send
-// it more than Rules.OverloadFactor times what it can do within Rules.OverloadWindow. Reconnecting
-// clients arrive one at each of many relays before the next report, so that no relay sees their
+// it more than Rules.OverloadFactor times what it can do within Rules.OverloadWindow. The clients of
+// a group, new ones as well as reconnecting ones, may arrive one at each of many relays before the
+// next report, and the rank of their group names one backend for all of them. No relay sees their
 // sum. Therefore each relay draws a random number of permits at its first request for a cold
 // backend. The permits are valid for Rules.OverloadWindow and bound the sum however many clients
 // come.
@@ -15,85 +17,124 @@
 const (
 	// permitFactor multiplies the budget that follows from the settings, which is computed from the
 	// slowest warm-up that they allow.
-	permitFactor = 1.5
-	// maxReconnectSize is the largest number of clients that reconnect to one backend at a time, as
-	// a multiple of the mean number of connections on a backend.
-	maxReconnectSize = 2.0
-	// maxPermitDoublings is the most doublings of the permits while reconnecting clients are denied
-	// at a backend that stays idle.
-	maxPermitDoublings = 3
+	permitFactor = 1.25
+	// spillFactor is the same for requests that spill to a cold backend whatever the rank of their
+	// group. Any relay may send these at any time.
+	spillFactor = 0.8
+	// maxGroupSize is the largest number of clients that come to one backend at a time by the rank
+	// of their group, as a multiple of the mean number of connections on a backend.
+	maxGroupSize = 2.0
 	// coldCreditFraction is the part of Rules.OverloadFactor that all relays together aim to send
-	// to a cold backend.
+	// to a cold backend of a service without groups.
 	coldCreditFraction = 0.8
-	// groupColdFraction is the part of Rules.OverloadFactor for placement by the ranks of groups. A
-	// large group brings several times the even share of a backend.
-	groupColdFraction = 0.6
-	// retriedFraction multiplies the probability of placement on a cold backend by the rank of a
-	// group, for requests that were held: they come in waves.
-	retriedFraction = 0.7
 	// minWarmLoad is the least mean load that is assumed of the warm backends.
 	minWarmLoad = 0.25
-	// fillFraction is the part of Rules.OverloadFactor up to which new clients fill a cold backend;
-	// see filledEarly.
-	fillFraction = 0.5
 )
 
 // permits limit what one relay may send to one cold backend until they expire.
 type permits struct {
-	expires        time.Time
-	reconnectLimit int  // requests of reconnecting clients
-	totalLimit     int  // requests of any kind
-	used           int  // requests of any kind that were sent
-	denied         bool // a reconnecting client found none left
-	doublings      int  // of the mean number, because of denials in the periods before
+	expires    time.Time
+	rankLimit  int // requests of groups that rank the backend high
+	spillLimit int // requests whatever the rank of their group
 }
 
-// renewPermits draws new permits for a cold backend if the last ones have expired.
-func (b *Balancer) renewPermits(now time.Time, k *backend) {
-	last := k.permits
-	if now.Before(last.expires) {
+// limit returns the number of requests of any kind that the permits allow.
+func (p *permits) limit() int { return max(p.rankLimit, p.spillLimit) }
+
+// recentColdSends returns how many requests this relay has sent to a cold backend within OverloadWindow.
+// They count against the permits of two periods, so that the limit holds for every window.
+func (b *Balancer) recentColdSends(now time.Time, k *backend) int {
+	oldest := now.Add(-b.cfg.Rules.OverloadWindow)
+	k.coldSends = slices.DeleteFunc(k.coldSends, func(at time.Time) bool { return at.Before(oldest) })
+	return len(k.coldSends)
+}
+
+// renewPermits draws new permits for a cold backend if the last ones have expired. Denials do not
+// raise the number: the next clients may come all at once.
+func (b *Balancer) renewPermits(now time.Time, k *backend, s fleetSummary) {
+	if now.Before(k.permits.expires) {
 		return
 	}
-	next := permits{expires: now.Add(b.cfg.Rules.OverloadWindow)}
-	if last.denied && now.Sub(last.expires) < b.cfg.Rules.OverloadWindow {
-		// By now the reports include what all relays sent in the last period, and the mean number
-		// of permits falls with the weight.
-		next.doublings = min(last.doublings+1, maxPermitDoublings)
+	byRank, spilled := b.meanPermits(now, k, s)
+	draw := b.rng.Float64()
+	next := permits{
+		expires:    now.Add(b.cfg.Rules.OverloadWindow),
+		rankLimit:  int(byRank + draw),
+		spillLimit: int(spilled + draw),
 	}
-	mean := b.meanPermits(now, k) * float64(int64(1)<<next.doublings)
-	next.reconnectLimit = int(mean + b.rng.Float64())
-	next.totalLimit = max(next.reconnectLimit, 1)
-	if b.countWarm(now) == 0 {
-		next.totalLimit = math.MaxInt // there are only cold backends
+	if !b.cfg.GroupAffinity {
+		next.rankLimit = max(next.rankLimit, 1) // credits bound the sum, see grantColdCredits
+	}
+	if s.warm == 0 {
+		next.rankLimit = math.MaxInt // there are only cold backends
 	}
 	k.permits = next
 }
 
 // meanPermits returns the mean number of permits that this relay draws for a cold backend, its part
 // of what the rules allow. A backend is taken to be full with the mean number of connections on a
-// backend over the mean load of the warm ones, and to accept connections no faster than fills it
-// over its warm-up. Where many relays share few connections, only some of the relays see a client
-// of the largest mass reconnect: these may use the permits of the others.
-func (b *Balancer) meanPermits(now time.Time, k *backend) float64 {
+// warm one over the mean load of these, and to accept connections no faster than fills it over its
+// warm-up. Where many relays share few connections, only some of the relays see a client
+// of the largest group that comes at a time: for requests by rank, these may use the permits of the
+// others. Any relay may see a request that spills.
+func (b *Balancer) meanPermits(now time.Time, k *backend, s fleetSummary) (byRank, spilled float64) {
 	rules := b.cfg.Rules
-	if rules.WarmUpTime <= 0 || len(b.ready) == 0 {
-		return 0
-	}
-	connections, size := 0.0, 0.0
-	for _, other := range b.ready {
-		connections += float64(len(other.requests))
-		size += other.Size
+	if rules.WarmUpTime <= 0 {
+		return 0, 0
 	}
-	backends := float64(len(b.ready))
-	fullConnections := max(connections/backends, 1/maxReconnectSize) / b.meanWarmLoad(now)
+	budget := b.warmUpFraction(now, k) * rules.OverloadFactor *
+		float64(rules.OverloadWindow) / float64(rules.WarmUpTime) / s.warmLoad
 	// A small backend is full with fewer connections. A large size may only mean that a backend is
 	// idle.
-	if size > 0 {
-		fullConnections *= min(k.Size*backends/size, 1)
+	if s.meanSize > 0 {
+		budget *= min(k.Size/s.meanSize, 1)
 	}
-	budget := b.warmUpFraction(now, k) * rules.OverloadFactor *
-		float64(rules.OverloadWindow) / float64(rules.WarmUpTime)
-	return permitFactor * fullConnections * budget * k.weight / fullWeight
+	byRank = permitFactor * max(s.meanConnections, 1/maxGroupSize) * budget * k.weight / fullWeight
+	spilled = spillFactor * s.meanConnections * budget
+	return byRank, spilled
+}
+
+// fleetSummary is what this relay knows of its ready backends as a whole: of the warm ones or, where
+// none is warm, of all.
+type fleetSummary struct {
+	warm int // number of warm backends
+	// warmLoad is the mean load of the warm backends that have reported, at least minWarmLoad. It is
+	// 1 if none has.
+	warmLoad        float64
+	meanConnections float64 // of this relay on a backend
+	meanSize        float64
+}
+
+// summarize returns the summary of the ready backends.
+func (b *Balancer) summarize(now time.Time) fleetSummary {
+	s := fleetSummary{warmLoad: 1}
+	for _, k := range b.ready {
+		if b.warmUpFraction(now, k) >= 1 {
+			s.warm++
+		}
+	}
+	counted, reported, load := 0.0, 0.0, 0.0
+	for _, k := range b.ready {
+		warm := b.warmUpFraction(now, k) >= 1
+		if s.warm > 0 && !warm {
+			continue
+		}
+		counted++
+		s.meanConnections += float64(len(k.requests))
+		s.meanSize += k.Size
+		if warm && !k.lastReport.IsZero() {
+			reported++
+			load += 1 - k.weight/fullWeight
+		}
+	}
+	if counted > 0 {
+		s.meanConnections /= counted
+		s.meanSize /= counted
+	}
+	if reported > 0 {
+		s.warmLoad = max(load/reported, minWarmLoad)
+	}
+	return s
 }
 
 // filledEarly reports whether a cold backend has more load than a steady use of its budget would
@@ -107,29 +148,20 @@
 	// The age of the backend, scaled by its mean capacity over that age relative to its present
 	// capacity.
 	steadyAge := (rules.InitialCapacity + w) / 2 * micros(now.Sub(k.StartTime)) / w
-	maxLoad := fillFraction * rules.OverloadFactor * (steadyAge + micros(rules.OverloadWindow)) /
+	maxLoad := rules.OverloadFactor * (steadyAge + micros(rules.OverloadWindow)) /
 		micros(rules.WarmUpTime)
 	return 1-k.weight/fullWeight > maxLoad
 }
 
-// mayTakeReconnect reports whether a request of a reconnecting client may go to a cold backend.
-func (b *Balancer) mayTakeReconnect(now time.Time, k *backend) bool {
-	b.renewPermits(now, k)
-	if k.permits.used < k.permits.reconnectLimit {
-		return true
-	}
-	k.permits.denied = true
-	return false
-}
-
-// withinPermits reports whether this relay may send a backend one more request of any kind. A cold
-// backend gets one per period, or as many as the relay drew permits.
+// withinPermits reports whether this relay may send a backend one more request of any kind.
 func (b *Balancer) withinPermits(now time.Time, k *backend) bool {
 	if b.warmUpFraction(now, k) >= 1 {
 		return true
 	}
-	b.renewPermits(now, k)
-	return k.permits.used < k.permits.totalLimit
+	if !now.Before(k.permits.expires) {
+		b.renewPermits(now, k, b.summarize(now))
+	}
+	return b.recentColdSends(now, k) < k.permits.limit()
 }
 
 // warmUpFraction returns the least part of its full capacity that a backend has by now.
@@ -142,55 +174,28 @@
 	return r.InitialCapacity + (1-r.InitialCapacity)*float64(max(age, 0))/float64(r.WarmUpTime)
 }
 
-// countWarm returns the number of warm backends that accept new connections.
-func (b *Balancer) countWarm(now time.Time) int {
-	warm := 0
-	for _, k := range b.ready {
-		if b.warmUpFraction(now, k) >= 1 {
-			warm++
-		}
-	}
-	return warm
-}
-
-// meanWarmLoad returns the mean load of the warm backends that have reported, at least minWarmLoad.
-// It returns 1 if none has.
-func (b *Balancer) meanWarmLoad(now time.Time) float64 {
-	reported, load := 0.0, 0.0
-	for _, k := range b.ready {
-		if !k.lastReport.IsZero() && b.warmUpFraction(now, k) >= 1 {
-			reported++
-			load += 1 - k.weight/fullWeight
-		}
+// mayTakeByRank decides whether a request may go to a backend by the rank of its group. A warm
+// backend always takes it: an even share of the new connections fills a warm backend to the
+// reported load. A cold one takes it while this relay has a permit left, for a new client only if it
+// is not filled early.
+func (b *Balancer) mayTakeByRank(now time.Time, r *request, k *backend, s fleetSummary) bool {
+	if b.warmUpFraction(now, k) >= 1 {
+		return true
 	}
-	if reported == 0 {
-		return 1
+	if !r.Reconnect && b.filledEarly(now, k) {
+		return false
 	}
-	return max(load/reported, minWarmLoad)
+	b.renewPermits(now, k, s)
+	return b.recentColdSends(now, k) < k.permits.rankLimit
 }
 
-// mayTakeByRank decides at random whether a request may go to a backend by the rank of its group. A
-// warm backend always takes it: an even share of the new connections fills a warm backend to the
-// reported load. A cold one gets a multiple of that share from all relays together, which follows
-// from its warm-up fraction and from groupColdFraction of Rules.OverloadFactor. Reconnecting
-// clients need permits.
-func (b *Balancer) mayTakeByRank(now time.Time, r *request, k *backend, load float64) bool {
-	w := b.warmUpFraction(now, k)
-	if w >= 1 {
-		return true
-	}
-	if r.Reconnect {
-		return b.mayTakeReconnect(now, k)
-	}
-	if b.filledEarly(now, k) {
+// mayTakeSpilled reports whether a request may go to a cold backend whatever the rank of its group.
+func (b *Balancer) mayTakeSpilled(now time.Time, r *request, k *backend, s fleetSummary) bool {
+	if b.warmUpFraction(now, k) >= 1 || !r.Reconnect && b.filledEarly(now, k) {
 		return false
 	}
-	// The weight accounts for the load that the backend has already.
-	p := w / load * b.cfg.Rules.OverloadFactor * groupColdFraction * k.weight / fullWeight
-	if r.holdCount > 0 {
-		p *= retriedFraction
-	}
-	return b.rng.Float64() < p
+	b.renewPermits(now, k, s)
+	return b.recentColdSends(now, k) < k.permits.spillLimit
 }
 
 // grantColdCredits grants credits for cold backends at random after a connection of this relay
@@ -203,7 +208,7 @@
 	if b.warmUpFraction(now, ended) < 1 {
 		return
 	}
-	warm := float64(b.countWarm(now))
+	warm := float64(b.summarize(now).warm)
 	for _, k := range b.ready {
 		w := b.warmUpFraction(now, k)
 		if w < 1 && b.rng.Float64() < w/max(warm, 1)*b.cfg.Rules.OverloadFactor*coldCreditFraction {
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -80,17 +80,17 @@
 	return mean, mean + 2*math.Sqrt(mean) + 2
 }
 
-// Two backends fail, and with them all connections of a group. Their clients reconnect through any
-// number of relays. All relays together must send a cold backend no more of them than the rules
-// allow. In simulated days with surges, one relay in 30 sent one request each within 100 ms to a
-// cold backend, which was overloaded.
-func TestMassReconnectStaysWithinBudget(t *testing.T) {
+// checkMassArrival lets the clients of one group, for which a cold backend ranks first, come at once
+// through each number of relays. All relays together must send the cold backend no more of them than
+// the rules allow, and still use it.
+func checkMassArrival(t *testing.T, relayCounts []int, clients int, reconnect bool) {
+	t.Helper()
 	allowed, most := coldBudget()
-	for _, relays := range []int{3, 30, 300, 1024} {
-		const seeds, clients = 40, 30
+	for _, relays := range relayCounts {
+		const seeds = 40
 		total, over := 0, 0
 		for seed := range uint64(seeds) {
-			n := massReconnect(t, relays, clients, true, seed)
+			n := massReconnect(t, relays, clients, reconnect, seed)
 			if total += n; float64(n) > most {
 				over++
 			}
@@ -103,6 +103,21 @@
 	}
 }
 
+// Two backends fail, and with them all connections of a group. Their clients reconnect through any
+// number of relays. In simulated days with surges, one relay in 30 sent one request each within 100
+// ms to a cold backend, which was overloaded.
+func TestMassReconnectStaysWithinBudget(t *testing.T) {
+	checkMassArrival(t, []int{3, 30, 300, 1024}, 30, true)
+}
+
+// A plant is switched on and all its controllers connect at once, through any number of relays. They
+// are new clients. 28 relays sent a cold backend 16 to 26 of 50 within a quarter of a second, where
+// it could bear 11: each decided for each client alone, and was limited only to one in
+// OverloadWindow by itself.
+func TestGroupStartStaysWithinBudget(t *testing.T) {
+	checkMassArrival(t, []int{3, 28, 30, 300, 1024}, 30, false)
+}
+
 // Ten times as many reconnecting clients send no more to a cold backend, where each relay sees more
 // than one of them.
 func TestLargerMassReconnectSendsNoMore(t *testing.T) {
@@ -153,7 +168,7 @@
 			k.permits = permits{}
 			k.weight = fullWeight * (0.8 - 0.03*took[max(i-lag, 0)])
 			took[i+1] = took[i]
-			if s.b.mayTakeByRank(s.now, &request{Request: Request{Reconnect: true}}, k, s.b.meanWarmLoad(s.now)) {
+			if s.b.mayTakeByRank(s.now, &request{Request: Request{Reconnect: true}}, k, s.b.summarize(s.now)) {
 				took[i+1]++
 			}
 		}
@@ -190,29 +205,67 @@
 	}
 }
 
-// A relay that had to deny reconnecting clients draws twice the mean number of permits in the next
-// period, as far as the backend reports that it is idle. After a period without a denial it draws
-// the normal number.
-func TestPermitsDoubleWhileReconnectsAreDenied(t *testing.T) {
+// Relays deny reconnecting clients for some periods, while the cold backend stays idle. Then the
+// clients of a group come at once. All relays together still send the backend no more than the rules
+// allow. Each denial doubled a relay's permits for the next period, up to eight times, and a mass
+// that came then overloaded the backend.
+func TestDenialsDoNotRaiseTheSum(t *testing.T) {
+	const relays, clients, seeds = 80, 30, 40
+	allowed, most := coldBudget()
+	total, over := 0, 0
+	for seed := range uint64(seeds) {
+		fleet := startFleet(t, relays, 12, 12*15)
+		window := testConfig().Rules.OverloadWindow
+		cold := Backend{ID: "cold", Zone: "here", Size: 1, StartTime: fleet[0].now.Add(-10*sec + 4*window)}
+		sent := 0
+		for i, s := range fleet {
+			s.b.rng = rand.New(rand.NewPCG(seed, uint64(i)))
+			s.b.DiscoveryUpdate(s.now, ListPatch, []Backend{cold})
+			k := s.b.byID["cold"]
+			again := &request{Request: Request{Reconnect: true}}
+			for range 4 {
+				s.b.mayTakeByRank(s.now, again, k, s.b.summarize(s.now))
+				for range k.permits.limit() { // the rest is denied
+					k.coldSends = append(k.coldSends, s.now)
+				}
+				s.b.mayTakeByRank(s.now, again, k, s.b.summarize(s.now))
+				s.now = s.now.Add(window + ms)
+			}
+			if i < clients && s.b.mayTakeByRank(s.now, again, k, s.b.summarize(s.now)) {
+				sent++
+			}
+		}
+		if total += sent; float64(sent) > most {
+			over++
+		}
+	}
+	if mean := float64(total) / seeds; over > 1 || mean > allowed+math.Sqrt(allowed) {
+		t.Errorf("mean of %.1f of %d requests sent to the cold backend, allowed %.1f; bound %.1f exceeded with %d of %d seeds", mean, clients, allowed, most, over, seeds)
+	}
+}
+
+// Permits that are drawn anew do not add to those that were used a moment before: the budget holds
+// in every window, not only in the periods of the permits.
+func TestPermitsHoldInEveryWindow(t *testing.T) {
 	s := startFleet(t, 1, 4, 64)[0]
 	s.b.DiscoveryUpdate(s.now, ListPatch, []Backend{{ID: "cold", Zone: "here", Size: 1, StartTime: s.now.Add(-10 * sec)}})
 	k := s.b.byID["cold"]
-	period := s.b.cfg.Rules.OverloadWindow
-	for _, tt := range []struct {
-		denied    bool
-		wait      int // periods since the last permits
-		doublings int
-	}{{false, 0, 0}, {true, 1, 1}, {true, 1, 2}, {true, 1, 3}, {true, 1, 3}, {false, 1, 0}, {true, 3, 0}} {
-		s.b.mayTakeReconnect(s.now, k)
-		k.permits.denied = tt.denied
-		s.now = k.permits.expires
-		if tt.wait > 1 {
-			s.now = s.now.Add(period)
-		}
-		s.b.renewPermits(s.now, k)
-		if k.permits.doublings != tt.doublings {
-			t.Fatalf("%+v: got %d doublings", tt, k.permits.doublings)
-		}
+	window := s.b.cfg.Rules.OverloadWindow
+	s.b.renewPermits(s.now, k, s.b.summarize(s.now))
+	k.permits.rankLimit, k.permits.spillLimit = 2, 0
+	s.now = k.permits.expires.Add(-ms)
+	k.coldSends = append(k.coldSends, s.now, s.now)
+	if s.b.withinPermits(s.now, k) {
+		t.Error("a third request is allowed within the period")
+	}
+	s.now = s.now.Add(2 * ms)
+	s.b.renewPermits(s.now, k, s.b.summarize(s.now))
+	k.permits.rankLimit, k.permits.spillLimit = 2, 2
+	if s.b.withinPermits(s.now, k) {
+		t.Error("a third request is allowed 2 ms after two, with the permits of the next period")
+	}
+	if s.now = s.now.Add(window - ms); !s.b.withinPermits(s.now, k) {
+		t.Error("no request is allowed a window after the last one")
 	}
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -13,22 +13,23 @@
 // backend is the state of one backend as this relay knows it.
 type backend struct {
 	Backend
-	weight              float64    // idle capacity in points, floorWeight to fullWeight
-	requests            []*request // connections and attempts of this relay on the backend
-	unreported          int        // placements by this relay since its last report
-	idHash              uint64     // hash of its ID
-	probePending        bool       // a probe has been sent and not answered
-	probeFailed         bool       // its last probe failed
-	lastReport          time.Time  // zero: none yet
-	loadPerConnection   float64    // mean load per connection in its last report; NaN: not reported
-	demand              float64    // recent requests of this relay for it, with exponential decay
-	demandAt            time.Time  // when demand was last updated
-	rebalancedAt        time.Time  // when connections were last moved off it because of its load
-	consecutiveFailures int        // reset by a success
-	ejectedUntil        time.Time  // it is avoided until then: this relay saw failures
-	peerEjectedUntil    time.Time  // as told by other relays; see EjectUntil
-	permits             permits    // used while it is cold
-	drainBy             time.Time  // when all connections must be off it; zero: it is not draining
+	weight              float64     // idle capacity in points, floorWeight to fullWeight
+	requests            []*request  // connections and attempts of this relay on the backend
+	unreported          int         // placements by this relay since its last report
+	idHash              uint64      // hash of its ID
+	probePending        bool        // a probe has been sent and not answered
+	probeFailed         bool        // its last probe failed
+	lastReport          time.Time   // zero: none yet
+	loadPerConnection   float64     // mean load per connection in its last report; NaN: not reported
+	demand              float64     // recent requests of this relay for it, with exponential decay
+	demandAt            time.Time   // when demand was last updated
+	rebalancedAt        time.Time   // when connections were last moved off it because of its load
+	consecutiveFailures int         // reset by a success
+	ejectedUntil        time.Time   // it is avoided until then: this relay saw failures
+	peerEjectedUntil    time.Time   // as told by other relays; see EjectUntil
+	permits             permits     // used while it is cold
+	coldSends           []time.Time // of requests, while it is cold and within OverloadWindow
+	drainBy             time.Time   // when all connections must be off it; zero: it is not draining
 }
 
 // request is the state of a request, from its arrival to the end of its last attempt or connection.
