--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -23,9 +24,9 @@
 	// maxGroupSize is the largest number of clients that come to one backend at a time by the rank
 	// of their group, as a multiple of the mean number of connections on a backend.
 	maxGroupSize = 2.0
-	// leastOverload is a number of requests within OverloadWindow that no backend falls over for,
-	// however cold and small it is: chance is allowed for by that much.
-	leastOverload = 3
+	// allowanceFraction is the part of what a cold backend bears up to which each relay may send one
+	// request. The rest is for requests of more than the mean work.
+	allowanceFraction = 0.75
 	// coldCreditFraction is the part of Rules.OverloadFactor that all relays together aim to send
 	// to a cold backend of a service without groups.
 	coldCreditFraction = 0.8
@@ -67,8 +68,9 @@
 	if !b.cfg.GroupAffinity {
 		next.rankLimit = max(next.rankLimit, 1) // credits bound the sum, see grantColdCredits
 	}
-	// A few relays may always send what any cold backend bears.
-	next.rankLimit = max(next.rankLimit, leastOverload/max(b.cfg.Relays, 1))
+	if b.mayEachSendOne(now, k, s) {
+		next.rankLimit, next.spillLimit = max(next.rankLimit, 1), max(next.spillLimit, 1)
+	}
 	k.permits = next
 }
 
@@ -79,9 +81,31 @@
 // of the largest group that comes at a time: for requests by rank, these may use the permits of the
 // others. Any relay may see a request that spills.
 func (b *Balancer) meanPermits(now time.Time, k *backend, s fleetSummary) (byRank, spilled float64) {
+	budget := b.budgetPerConnection(now, k, s)
+	byRank = permitFactor * max(s.meanConnections, 1/maxGroupSize) * budget * k.weight / fullWeight
+	spilled = spillFactor * s.meanConnections * budget
+	return byRank, spilled
+}
+
+// mayEachSendOne reports whether a cold backend bears one request of each relay within
+// OverloadWindow, so that no chance is needed to share out what it bears.
+func (b *Balancer) mayEachSendOne(now time.Time, k *backend, s fleetSummary) bool {
+	relays := float64(max(b.cfg.Relays, 1))
+	mean := relays * s.meanConnections * b.budgetPerConnection(now, k, s)
+	// The platform lets a backend fall over beyond this, which allows for chance.
+	allowance := mean + 3*math.Sqrt(mean) + 3
+	if mean >= 30 {
+		allowance = mean + 2*math.Sqrt(mean) + 2
+	}
+	return allowanceFraction*allowance >= relays
+}
+
+// budgetPerConnection returns the number of requests that the rules allow a cold backend within
+// OverloadWindow for each connection that a warm backend has.
+func (b *Balancer) budgetPerConnection(now time.Time, k *backend, s fleetSummary) float64 {
 	rules := b.cfg.Rules
 	if rules.WarmUpTime <= 0 {
-		return 0, 0
+		return 0
 	}
 	budget := b.warmUpFraction(now, k) * rules.OverloadFactor *
 		float64(rules.OverloadWindow) / float64(rules.WarmUpTime) / s.warmLoad
@@ -90,9 +114,7 @@
 	if s.meanSize > 0 {
 		budget *= min(k.Size/s.meanSize, 1)
 	}
-	byRank = permitFactor * max(s.meanConnections, 1/maxGroupSize) * budget * k.weight / fullWeight
-	spilled = spillFactor * s.meanConnections * budget
-	return byRank, spilled
+	return budget
 }
 
 // fleetSummary is what this relay knows of its ready backends as a whole: of the warm ones or, where
