Review: a fleet probes servers where the settings allow no probes

Three proxies judge servers together; the settings forbid probes. A server is silent for 10 s.

Code at fault: verdicts.evaluate and Engine.ProbeDirectly do not look at MayProbe.

--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -8,8 +8,8 @@
 )
 
 // Fleet returns started proxies of one fleet that are all keepers and may all own the duty of asking discovery.
-// discovery returns the address of discovery for a proxy. Fleet waits until each is ready.
-func (w *World) Fleet(n int, known any, discovery func(i int) (string, error)) ([]*Proxy, error) {
+// more is added to each operators' file. discovery returns the address of discovery for a proxy. Fleet waits until each is ready.
+func (w *World) Fleet(n int, settings, known any, more string, discovery func(i int) (string, error)) ([]*Proxy, error) {
 	var at, members []string
 	for i := range n {
 		addr, err := FreeUDP()
@@ -25,11 +25,11 @@
 			return nil, err
 		}
 		operator := fmt.Sprintf("[fleet]\ncluster = review\nlisten = %s\nseeds = %s\n[keepers]\nmembers = %s\ndir = %s/keeper-%d\n[duties]\ntake = discovery\n",
-			at[i], strings.Join(at, ", "), strings.Join(members, ", "), w.Dir, i+1)
+			at[i], strings.Join(at, ", "), strings.Join(members, ", "), w.Dir, i+1) + more
 		if alone() {
 			operator = ""
 		}
-		p, err := w.NewProxy(ProxyConfig{Name: fmt.Sprintf("n%d", i+1), Discovery: address, Settings: Settings(n), Known: known, Operator: operator})
+		p, err := w.NewProxy(ProxyConfig{Name: fmt.Sprintf("n%d", i+1), Discovery: address, Settings: settings, Known: known, Operator: operator})
 		if err != nil {
 			return nil, err
 		}
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -29,6 +30,9 @@
 	conns    map[net.Conn]bool
 	opens    []*Open
 	standing int
+	frozen   chan struct{} // closed when the server's machine is back; nil: it is there
+	probes   []time.Time
+	NoProbes bool // the settings allow no probes
 	// Answer returns how a request is answered; nil: UP, or BUSY while the server drains. It may wait.
 	Answer func(o *Open) string
 }
@@ -64,6 +68,51 @@
 	s.draining = true
 }
 
+// Vanish makes the server's machine silent until the returned function brings it back. Connections that were begun
+// meanwhile are reset then, as the others are that the server still has: it has started anew.
+func (s *Server) Vanish() (back func()) {
+	c := make(chan struct{})
+	s.mu.Lock()
+	s.frozen = c
+	s.mu.Unlock()
+	s.r.Logf("server %s: silent", s.ID)
+	return func() {
+		s.mu.Lock()
+		s.frozen = nil
+		s.reset()
+		s.mu.Unlock()
+		close(c)
+		s.r.Logf("server %s: back", s.ID)
+	}
+}
+
+// wait waits while the machine is silent.
+func (s *Server) wait() {
+	s.mu.Lock()
+	c := s.frozen
+	s.mu.Unlock()
+	if c != nil {
+		<-c
+	}
+}
+
+// reset resets all connections.
+func (s *Server) reset() {
+	for c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// Probes returns when probes have come so far.
+func (s *Server) Probes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.probes)
+}
+
 // Opens returns the requests that have come so far.
 func (s *Server) Opens() []Open {
 	s.mu.Lock()
@@ -87,12 +136,7 @@
 	s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		c.Close()
-	}
+	s.reset()
 }
 
 // Field returns a value of the first line's list.
@@ -120,9 +164,11 @@
 	}()
 	in := bufio.NewReader(c)
 	for {
+		s.wait()
 		if _, err := in.Peek(1); err != nil {
 			return
 		}
+		s.wait()
 		at := time.Now()
 		text, err := in.ReadString('\n')
 		if err != nil {
@@ -133,9 +179,15 @@
 		switch {
 		case up != nil:
 			reply = "ECHO " + text
-		case text == "PING":
-			reply = "PONG"
-		case text == "STATS":
+		case text == "PING" || text == "STATS":
+			s.mu.Lock()
+			s.probes = append(s.probes, at)
+			s.mu.Unlock()
+			if s.NoProbes {
+				reply = "NO"
+				s.r.LogAt(at, "server %s: got %q, answers %q", s.ID, text, reply)
+				break
+			}
 			reply = fmt.Sprintf("PONG util=%.2f,x0=%.2f,qps=1", 0.1, 0.1)
 		case strings.HasPrefix(text, "OPEN "):
 			o := &Open{At: at, Server: s.ID, ID: strings.Split(text, " ")[1], Class: Field(text, "c")}
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -95,6 +95,15 @@
 	}
 }
 
+// FleetSettings returns Settings of a deployment in which proxies may talk to each other.
+func FleetSettings(proxies int) map[string]any {
+	s := Settings(proxies)
+	if p, ok := s["Permissions"].(map[string]any); ok {
+		p["Peers"] = true
+	}
+	return s
+}
+
 // Proxy is one process of the program.
 type Proxy struct {
 	Name, Addr string // Addr is where clients connect
@@ -110,7 +119,7 @@
 // ProxyConfig says how a process is started.
 type ProxyConfig struct {
 	Name, Discovery string
-	Settings        map[string]any
+	Settings        any
 	Known           any    // the list as the proxy last had it; nil: none
 	Operator        string // text of the operators' own file; empty: none
 }
