--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -82,3 +82,71 @@
 	wg.Wait()
 	return byProxy
 }
+
+// Standing is a client that keeps its connection and sends a line every 2 s.
+type Standing struct {
+	Server string // that the receipt names
+	mu     sync.Mutex
+	end    string
+}
+
+// End returns how the connection ended: "told to move", "cut off", or empty while it stands.
+func (s *Standing) End() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.end
+}
+
+// Stand opens connections through a proxy and keeps them. Those that don't come up are left out.
+func (r *Record) Stand(p *Proxy, n int) []*Standing {
+	var all []*Standing
+	for range n {
+		c := r.Request(p, "readings", 4800*time.Millisecond, "")
+		if !c.Up() {
+			c.End()
+			continue
+		}
+		server, _, _ := strings.Cut(strings.TrimPrefix(c.Answer, "UP "), "/")
+		s := &Standing{Server: server}
+		all = append(all, s)
+		go func() {
+			defer c.End()
+			tick := time.NewTicker(2 * time.Second)
+			defer tick.Stop()
+			go func() {
+				for range tick.C {
+					if _, err := c.Write([]byte("reading 7.1\r\n")); err != nil {
+						return
+					}
+				}
+			}()
+			end := "cut off"
+			for {
+				text, err := c.In.ReadString('\n')
+				if err != nil {
+					break
+				}
+				if text == "MOVE\r\n" {
+					end = "told to move"
+					break
+				}
+			}
+			s.mu.Lock()
+			s.end = end
+			s.mu.Unlock()
+			r.Logf("client %s at %s: %s", c.ID, server, end)
+		}()
+	}
+	return all
+}
+
+// Ends logs what became of the clients that stood at a server.
+func (r *Record) Ends(all []*Standing, server string) {
+	ends := make(map[string]int)
+	for _, s := range all {
+		if s.Server == server {
+			ends[s.End()]++
+		}
+	}
+	r.Logf("of the clients that stood at %s, %d were told to move and %d were cut off when it left", server, ends["told to move"], ends["cut off"])
+}
