Review: a proof that a server takes work outlives a silent watch

The proxy is cut off from discovery for 5.7 s from just before the end of a watch's wait, and a server drains before that end. It gets new work 3.1 to 4.2 s after the end, where 2.55 s are allowed.

Code at fault: proofValidity counts from the 6 s of a failed call; what a silent watch misses counts as told 2 s after its wait.

--- a/review/stand2/discovery.go
+++ b/review/stand2/discovery.go
@@ -31,6 +31,8 @@
 	hosts   []*Host
 	changed chan struct{}
 	down    bool // calls end with 503
+	// OnWatch is told of each call that may wait, before it waits; nil: nobody is.
+	OnWatch func(at time.Time, wait time.Duration)
 }
 
 // NewDiscovery returns a discovery that lists servers.
@@ -119,6 +121,9 @@
 		known, wait = n, time.Duration(ms)*time.Millisecond
 	}
 	d.r.Logf("discovery: %s is asked by %s: %s", q.Host, q.RemoteAddr, q.URL)
+	if d.OnWatch != nil && wait > 0 {
+		d.OnWatch(time.Now(), wait)
+	}
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	d.mu.Lock()
