A standing connection waits for its server as long as its client does

Cause: Engine.Adopt asked once, at the request, whether the route table has the server, and cut the client's wait to 2 s where it had not; nothing later could lengthen it.

The exchange waits for its target until its client's time is over, 40 s at most; each list starts the hops of those whose targets it names. A hop that the server resets is tried again where the class allows a repeat. While its target is not listed a connection takes no place under a limit, no descriptor is reserved for its attempt, and its client is refused, the newest first, where descriptors are short.

--- a/internal/lab/planted_test.go
+++ b/internal/lab/planted_test.go
@@ -73,8 +73,8 @@
 		// With these settings, windows end while connections are being established. Otherwise
 		// hardly a request is sent twice, because lists are current.
 		name: "the window is looked at when a hop begins, and not when it is written", file: "internal/proxy/effect.go",
-		from: " || !x.mayHop(now, x.target) ||",
-		to:   " ||",
+		from: "	if !x.mayHop(now, x.target) {\n		return false\n	}\n	if x.adoption",
+		to:   "	if x.adoption",
 		set: []string{
 			"allow.dial=900ms",
 			"class readings.effect=guarded", "class readings.scope=all", "class readings.window=400ms", "class readings.share=0.6",
--- a/internal/proxy/audit.go
+++ b/internal/proxy/audit.go
@@ -28,11 +28,14 @@
 // hop.
 func (f *LineFrontend) auditExchanges() ([]*Exchange, error) {
 	var out []*Exchange
-	withClientID := 0
+	withClientID, unlisted := 0, 0
 	for _, x := range f.engine.sortedExchanges() {
 		if x.clientID != "" {
 			withClientID++
 		}
+		if x.awaitsListing() {
+			unlisted++
+		}
 		if x.hopActive {
 			out = append(out, x)
 		}
@@ -57,6 +60,9 @@
 	if withClientID != len(f.engine.clientIDs) {
 		return nil, fmt.Errorf("given-back: %d client ids are registered for %d exchanges", len(f.engine.clientIDs), withClientID)
 	}
+	if unlisted != len(f.engine.unlisted) {
+		return nil, fmt.Errorf("given-back: %d exchanges are registered as waiting for their targets to be listed, %d wait", len(f.engine.unlisted), unlisted)
+	}
 	return out, nil
 }
 
@@ -65,7 +71,7 @@
 func (f *LineFrontend) auditCounts(out []*Exchange) error {
 	held := make(map[string]int)
 	for _, x := range out {
-		if now := f.engine.table.Find(x.target.ID); now != nil && now.SameEntry(x.target) && (x.adoptTarget == "" || x.established) {
+		if now := f.engine.table.Find(x.target.ID); now != nil && now.SameEntry(x.target) && (x.adoption == nil || x.established) {
 			held[x.target.ID]++
 		}
 	}
--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -166,7 +166,7 @@
 		e.watch.Start()
 	case acAdopt:
 		if x != nil && !x.answered {
-			e.tryAdopt(x)
+			e.startAdoptionHop(x)
 		}
 	case acAfter:
 		t, token := &poll.Timer{}, a.token
--- a/internal/proxy/descriptors.go
+++ b/internal/proxy/descriptors.go
@@ -43,7 +43,7 @@
 
 // ensureFree closes idle connections, the oldest first, until at least wanted descriptors are free,
 // and reports whether they are. Hundreds of silent clients must not keep out one that has a
-// request.
+// request. After the idle connections it refuses clients whose targets discovery does not list.
 func (f *LineFrontend) ensureFree(wanted int) bool {
 	for {
 		free, limited := f.freeDescriptors()
@@ -51,15 +51,17 @@
 			return true
 		}
 		oldest := f.idleConns.Front()
-		if oldest == nil {
+		switch {
+		case oldest != nil:
+			oldest.Value.(idleConnection).closeIfIdle()
+		case !f.engine.refuseUnlistedAdoption(noDescriptorRetryAfter):
 			return false
 		}
-		oldest.Value.(idleConnection).closeIfIdle()
 	}
 }
 
 // pendingAttempts is the number of clients that wait and have no socket to a target yet; each will
-// need a descriptor for one. It is counted once per turn of the loop, and only where descriptors
+// need a descriptor for one; those whose targets are not listed do not count. It is counted once per turn of the loop, and only where descriptors
 // are short, since it iterates over all sessions.
 type pendingAttempts struct {
 	count     int       // waiting clients without a socket to a target
@@ -77,7 +79,7 @@
 	if now := f.loop.Now(); !now.Equal(f.pendingAttempts.countedAt) {
 		f.pendingAttempts = pendingAttempts{countedAt: now}
 		for _, s := range f.sessions {
-			if s.state == waiting && (s.hop == nil || s.hop.link.sock == nil) {
+			if s.state == waiting && (s.hop == nil || s.hop.link.sock == nil) && !s.exchange.awaitsListing() {
 				f.pendingAttempts.count++
 			}
 		}
@@ -86,10 +88,10 @@
 }
 
 // hasRoomForAttempt reports whether a new request would find a descriptor for its attempt, if all
-// idle connections were closed.
+// connections that ensureFree may end were closed.
 func (f *LineFrontend) hasRoomForAttempt() bool {
 	free, limited := f.freeDescriptors()
-	return !limited || free+f.idleConns.Len() >= reservedFromAttempts+f.expectedAttempts()+1
+	return !limited || free+f.idleConns.Len()+len(f.engine.unlisted) >= reservedFromAttempts+f.expectedAttempts()+1
 }
 
 // markIdle makes a session the newest of the idle connections. markActive removes it from them.
--- a/internal/proxy/effect.go
+++ b/internal/proxy/effect.go
@@ -69,10 +69,13 @@
 	if x.answered {
 		return false
 	}
-	if x.adoptTarget == "" {
+	if !x.mayHop(now, x.target) {
+		return false
+	}
+	if x.adoption == nil { // an adopted connection is no new work for its target
 		to := x.engine.table.Find(x.target.ID)
 		grace := max(x.engine.settings.DrainGrace-sendGraceMargin, 0)
-		if to == nil || moduleStates[to.Health] != balance.Ready || !x.mayHop(now, x.target) || !x.engine.maySendTo(to.ID, now, grace) {
+		if to == nil || moduleStates[to.Health] != balance.Ready || !x.engine.maySendTo(to.ID, now, grace) {
 			return false
 		}
 	}
@@ -85,6 +88,7 @@
 // the engine.
 func (e *Engine) answer(x *Exchange, refuse bool, after time.Duration) {
 	x.answered = true
+	e.endAdoption(x)
 	if refuse && x.mayRefuse(after) {
 		e.counters.Shed++
 		x.client.Refuse(after)
@@ -111,7 +115,7 @@
 		}
 	}
 	e.answer(x, true, after)
-	if x.adoptTarget == "" {
+	if x.adoption == nil {
 		e.push(event{kind: evClientLeft, exchange: x})
 	}
 	e.dropHeldSend(x)
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -25,13 +25,6 @@
 	// answerMarginDivisor limits the answer margin to this fraction of the client's wait, where
 	// that is shorter than Tuning.AnswerMargin.
 	answerMarginDivisor = 8
-	// adoptRetryInterval is the time between two attempts to adopt a connection that was open
-	// before the process started.
-	adoptRetryInterval = 100 * time.Millisecond
-	// maxAdoptWait is how long adopting such a connection may take by the protocol.
-	// maxAdoptWaitUnlisted applies while the route table does not contain its target.
-	maxAdoptWait         = 40 * time.Second
-	maxAdoptWaitUnlisted = 2 * time.Second
 	// readyTimeout is how long after its start a process without any list waits for discovery
 	// before it accepts clients anyway. A restarted process must be ready within 6 s in the
 	// shortest runs, and readiness is polled about once a second. Discovery may be down for longer,
@@ -76,6 +69,7 @@
 	listWait            listWait
 	proofs              acceptanceProofs
 	peerConfirmedAt     func() time.Time // see SetPeerConfirmation; nil: none confirms
+	unlisted            []*Exchange      // adopted, their targets are not listed; oldest first
 }
 
 // EngineConfig holds the parameters of an Engine.
@@ -186,26 +180,6 @@
 	return x, nil
 }
 
-// Adopt creates the exchange for a connection that an egress target has held since before this
-// process started. The module learns of it once it is established. No other target can take it
-// over.
-func (e *Engine) Adopt(c Client, o ClientRequest, id string) (*Exchange, error) {
-	if o.Wait = min(o.Wait, maxAdoptWait); e.table.Find(id) == nil {
-		o.Wait = min(o.Wait, maxAdoptWaitUnlisted)
-	}
-	x, err := e.addExchange(c, o)
-	if err != nil {
-		return nil, err
-	}
-	// Deliver starts the hop, since a hop that fails at once needs the caller to hold its exchange.
-	x.adoptTarget = id
-	if e.limits != nil { // the connection exists already: it is counted, but never refused
-		x.limitBits, _ = e.limits.Acquire(x.request.Class, x.request.Tenant, false)
-	}
-	e.actions = append(e.actions, action{kind: acAdopt, id: x.id})
-	return x, nil
-}
-
 // addExchange validates a request and registers its exchange.
 func (e *Engine) addExchange(c Client, o ClientRequest) (*Exchange, error) {
 	class, ok := e.settings.Classes[o.Class]
@@ -263,12 +237,17 @@
 // and the limits of an exchange are given back.
 func (e *Engine) release(x *Exchange) {
 	e.loop.Disarm(&x.timer)
+	e.releaseLimits(x)
+	delete(e.exchanges, x.id)
+	delete(e.clientIDs, x.clientID)
+}
+
+// releaseLimits gives back the places under limits that an exchange holds.
+func (e *Engine) releaseLimits(x *Exchange) {
 	if e.limits != nil && x.limitBits != 0 {
 		e.limits.Release(x.limitBits)
 		x.limitBits = 0
 	}
-	delete(e.exchanges, x.id)
-	delete(e.clientIDs, x.clientID)
 }
 
 // answerOverdue answers a client whose wait is nearly over. The module's own deadline is earlier,
@@ -301,43 +280,12 @@
 	}
 }
 
-// tryAdopt starts the hop of an adopted connection if the route table has its target.
-func (e *Engine) tryAdopt(x *Exchange) {
-	to := e.table.Find(x.adoptTarget)
-	if to == nil {
-		e.retryAdopt(x, balance.NoConnect)
-		return
-	}
-	e.startHop(x, to, x.deadline.Sub(e.loop.Now()))
-}
-
-// retryAdopt schedules another attempt after a hop that never ran: the route table may be out of
-// date, or the target busy with all other connections that are opened at the start.
-func (e *Engine) retryAdopt(x *Exchange, o balance.Outcome) {
-	if x.answered {
-		e.release(x)
-		return
-	}
-	if left := x.deadline.Sub(e.loop.Now()); !o.NeverRan() || left < 2*adoptRetryInterval {
-		e.answer(x, false, 0)
-		e.release(x)
-		return
-	}
-	t := &poll.Timer{}
-	t.Fire = func() {
-		if !x.answered {
-			e.tryAdopt(x)
-		}
-	}
-	e.loop.After(t, adoptRetryInterval)
-}
-
 // startHop starts a hop of an exchange at a target and counts it.
 func (e *Engine) startHop(x *Exchange, to *routes.Target, wait time.Duration) {
 	x.target, x.hopActive, x.sentAt = to, true, time.Time{}
 	x.hopCount++
 	e.counters.Hops++
-	if e.onHopStart != nil && x.adoptTarget == "" {
+	if e.onHopStart != nil && x.adoption == nil {
 		e.onHopStart(x.request.Class, x.hopCount == 1 && !x.request.Reconnect)
 	}
 	known := e.discoveryAnsweredAt
@@ -420,6 +368,7 @@
 	}
 	stopped := e.table.Merge(l)
 	e.push(event{kind: evList, list: kind, entries: backends(l.Hosts)})
+	e.startListedAdoptions()
 	for _, id := range stopped {
 		e.cancelUnsentHops(id)
 		e.proofs.forget(id)
@@ -433,7 +382,7 @@
 // a hop that is still connecting could be sent after the time that the rules allow.
 func (e *Engine) cancelUnsentHops(id string) {
 	for _, x := range e.sortedExchanges() {
-		if x.hopActive && !x.established && x.adoptTarget == "" && x.target.ID == id && x.client.CancelUnsent() {
+		if x.hopActive && !x.established && x.adoption == nil && x.target.ID == id && x.client.CancelUnsent() {
 			x.Ended(balance.NoConnect, noReport)
 		}
 	}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -60,11 +60,11 @@
 	hopCount       int            // hops so far
 	hopActive      bool           // a hop is in progress, or its connection is established
 	established    bool
-	limitBits      uint64 // the limits that the exchange counts under, one bit each
-	answered       bool   // the client has its final answer, or left
-	held           bool   // an attempt waits for an up-to-date list, see listWait
-	waitedForList  bool   // an attempt has waited so: an exchange does not wait twice
-	adoptTarget    string // of an adopted connection, not chosen by the module; empty: none
+	limitBits      uint64    // the limits that the exchange counts under, one bit each
+	answered       bool      // the client has its final answer, or left
+	held           bool      // an attempt waits for an up-to-date list, see listWait
+	waitedForList  bool      // an attempt has waited so: an exchange does not wait twice
+	adoption       *adoption // nil: the module chooses the target
 	deadline       time.Time
 	timer          poll.Timer
 	sentAt         time.Time      // when the last hop's first byte was written; zero: none was
@@ -82,7 +82,7 @@
 	x.engine.loop.Disarm(&x.timer)
 	x.engine.counters.Up++
 	x.engine.counters.Standing++
-	if x.adoptTarget != "" {
+	if x.adoption != nil {
 		x.engine.push(event{kind: evOpen, exchange: x, request: x.request, target: x.target.ID})
 	} else {
 		x.engine.push(event{kind: evEstablished, exchange: x})
@@ -96,7 +96,7 @@
 func (x *Exchange) markServed() {
 	x.answered = true
 	x.engine.counters.Up++
-	if x.adoptTarget == "" { // a draining server keeps its connections
+	if x.adoption == nil { // a draining server keeps its connections
 		x.engine.proofs.recordAccepted(x.target.ID, x.sentAt)
 	}
 }
@@ -116,8 +116,8 @@
 	} else {
 		x.engine.reportOutcome(x.target.ID, o, OutcomeFromHop)
 	}
-	if x.adoptTarget != "" && !x.established {
-		x.engine.retryAdopt(x, o)
+	if x.adoption != nil && !x.established {
+		x.engine.retryAdoption(x, o)
 		return
 	}
 	settled := x.answered
@@ -137,7 +137,8 @@
 	x.answered = true
 	x.engine.loop.Disarm(&x.timer) // without permission to cancel, the hop may go on for long
 	x.engine.counters.Left++
-	if x.adoptTarget == "" {
+	x.engine.endAdoption(x)
+	if x.adoption == nil {
 		x.engine.push(event{kind: evClientLeft, exchange: x})
 	} else if x.hopActive {
 		x.client.CancelHop()
