A standing connection that took several tries is not counted for good

What callers saw: nothing at once. The module went on counting connections that had ended, at each server whose standing connections (at=) came up at a second try or later; such a server got fewer clients of this process, and the records stayed in memory.

Cause: the engine numbers hops and tells the module the number at the end; RestoreConnection knows one attempt, and Finished passes over the end of any other.

Change: Exchange.Up numbers the hop that comes up as the first where the module did not choose the target. No further hop follows, so that the number stays.

Measured: TestStandingConnectionIsNotCountedAfterItsEnd without the change: the module counts 1 after the end, want 0; with it: passes.

--- a/internal/proxy/adoption_test.go
+++ b/internal/proxy/adoption_test.go
@@ -323,3 +323,24 @@
 		}
 	}
 }
+
+// The module counted a connection that took more than one hop to come up for good, also after its
+// end: it knew of one attempt, and was told of the end of a later one.
+func TestStandingConnectionIsNotCountedAfterItsEnd(t *testing.T) {
+	b := newTestBed(t, 1, false)
+	late := b.newLateTarget()
+	b.tell(late.list(routes.Serving))
+	c := b.adopt("a", 40*time.Second)
+	late.requests()[0].write(t, "BUSY\r\n")
+	b.waitFor("the next hop", func() bool { return len(late.conns) == 2 && len(late.conns[1].received) > 0 })
+	late.conns[1].write(t, "UP late\r\n")
+	b.waitFor("UP", func() bool { return string(c.received) == "UP late\r\n" })
+	standing := b.engine.module.ConnectionCount("late")
+	c.sock.Close()
+	b.waitFor("the end", func() bool { return late.conns[1].eof })
+	late.conns[1].sock.Close()
+	b.settle()
+	if after := b.engine.module.ConnectionCount("late"); standing != 1 || after != 0 {
+		t.Errorf("the module counts %d connections while it stands and %d after its end, want 1 and 0", standing, after)
+	}
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -83,6 +83,7 @@
 	x.engine.counters.Up++
 	x.engine.counters.Standing++
 	if x.adoption != nil {
+		x.hopCount = 1 // the module hears of the established connection only, as the first attempt
 		x.engine.push(event{kind: evOpen, exchange: x, request: x.request, target: x.target.ID})
 	} else {
 		x.engine.push(event{kind: evEstablished, exchange: x})
