--- a/cmd/ospreylab/fuzz.go
+++ b/cmd/ospreylab/fuzz.go
@@ -33,7 +33,7 @@
 			}
 			generate := lab.ScenarioGenerators()[days]
 			if generate == nil {
-				return usageError{fmt.Errorf("--days %s: none of any, cut-output and throng", days)}
+				return usageError{fmt.Errorf("--days %s: none of any, cut-output, standing and throng", days)}
 			}
 			until := time.Now().Add(time.Duration(minutes * float64(time.Minute)))
 			showProgress := isTerminal(a.errs)
@@ -65,7 +65,7 @@
 			return found.Err
 		},
 	}
-	c.Flags().StringVar(&days, "days", "any", "kind of generated scenarios: any, cut-output or throng")
+	c.Flags().StringVar(&days, "days", "any", "kind of generated scenarios: any, cut-output, standing or throng")
 	c.Flags().StringArrayVar(&set, "set", nil, "section.key=value that replaces a generated value; may be repeated")
 	c.Flags().IntVar(&seeds, "seeds", 1000, "maximum number of scenarios")
 	c.Flags().Float64Var(&minutes, "minutes", 5, "maximum time in minutes")
--- a/cmd/ospreylab/main_test.go
+++ b/cmd/ospreylab/main_test.go
@@ -70,7 +70,7 @@
 		{[]string{"compare", validScenario, validScenario, "--seeds", "1"}, "not from 2 to 10000"},
 		{[]string{"check", validScenario, invalidScenario}, "bad.ini:2:"},
 		{[]string{"fuzz", "--seeds", "0"}, "not above 0"},
-		{[]string{"fuzz", "--days", "calm"}, "--days calm: none of any, cut-output and throng"},
+		{[]string{"fuzz", "--days", "calm"}, "--days calm: none of any, cut-output, standing and throng"},
 		{[]string{"list", "--dir", missingDir}, "no such file"},
 		{[]string{"check", validScenario, "--log-level", "loud"}, "none of debug, info, warn, error"},
 		{[]string{"run", validScenario, "--real", "--program", missingDir}, "no such file"},
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -89,11 +89,17 @@
 
 // addClient adds a client that connects now. What it wants is drawn from rng.
 func (g *LoadGenerator) addClient(class int, group string, rng *rand.Rand) {
+	g.addHeldClient(class, group, "", rng)
+}
+
+// addHeldClient adds a client that connects now and whose connection a relay has held since before
+// the day; an empty name means none.
+func (g *LoadGenerator) addHeldClient(class int, group, heldBy string, rng *rand.Rand) {
 	g.arrivals++
 	t := g.config.Traffic
 	c := &client{
 		generator: g, class: class, index: len(g.clients), arrived: g.loop.Now(),
-		group:         group,
+		group: group, heldBy: heldBy,
 		key:           fmt.Sprintf("%s%d", g.config.Site, g.arrivals),
 		remaining:     seconds(rng.ExpFloat64() * t.MeanLife.Seconds() * g.config.Classes[class].LifeFactor),
 		honoursAdvice: rng.Float64() < t.HonourFraction,
@@ -171,6 +177,7 @@
 	honoursAdvice bool
 	impatient     bool
 	reconnecting  bool
+	heldBy        string // relay that holds its connection since before the day; empty: none
 	index         int
 	pcg           rand.PCG
 
@@ -231,6 +238,10 @@
 	t := c.generator.config.Traffic
 	attemptsPerRound := t.QuickRetries + 1
 	c.failures++
+	if c.heldBy != "" && c.attempts >= attemptsPerRound {
+		c.reportStandingLost()
+		return
+	}
 	var wait time.Duration
 	if c.failures%attemptsPerRound != 0 {
 		first := t.Backoff.From + time.Duration(float64(t.Backoff.To-t.Backoff.From)*c.random())
@@ -417,12 +428,15 @@
 	g := c.generator
 	c.attempts++
 	class := &g.config.Classes[c.class]
-	again := ""
+	timeout, more := class.AttemptTimeout, ""
 	if c.reconnecting {
-		again = ",again=1"
+		more = ",again=1"
+	}
+	if c.heldBy != "" {
+		timeout, more = c.arrived.Add(MaxStandingWait).Sub(g.loop.Now()), ",at="+c.heldBy
 	}
 	openLine := fmt.Appendf(nil, "OPEN %s.%d %s c=%s,d=%d,g=%s%s\r\n",
-		c.key, c.attempts, c.key, class.Name, class.AttemptTimeout.Milliseconds(), c.group, again)
+		c.key, c.attempts, c.key, class.Name, timeout.Milliseconds(), c.group, more)
 	n, err := c.sock.Write(openLine)
 	if err != nil || n < len(openLine) {
 		g.ledger.Counts.ConnectFailures++
@@ -436,7 +450,7 @@
 		g.loop.After(&c.timer, time.Duration(c.random()*float64(min(maxEarlyLeaveDelay, class.AttemptTimeout))))
 		return
 	}
-	g.loop.After(&c.timer, class.AttemptTimeout+answerGrace)
+	g.loop.After(&c.timer, timeout+answerGrace)
 }
 
 func (c *client) handleLine(text []byte) {
@@ -447,6 +461,7 @@
 		switch word {
 		case line.Up:
 			g.ledger.Counts.Up++
+			c.markStandingUp()
 			g.ledger.SetUp[c.class].add(now.Sub(c.requestedAt))
 			c.state, c.connectedAt, c.intervalStart, c.answeredInTime, c.failures = clientConnected, now, now, false, 0
 			c.sendMessage()
--- a/internal/fleet/ledger.go
+++ b/internal/fleet/ledger.go
@@ -50,8 +50,9 @@
 	Cut             int `json:"cut"`      // established connections that ended without a MOVE
 	Crossing        int `json:"crossing"` // requests from a proxy of another site
 	Probes          int `json:"probes"`
-	FaultErrors     int `json:"failing"` // requests that failing relays answered with an error
-	SilentLines     int `json:"silent"`  // connections on which a relay left a line unanswered; see CutOutput
+	FaultErrors     int `json:"failing"`  // requests that failing relays answered with an error
+	Standing        int `json:"standing"` // connections that stood before the day and came up again
+	SilentLines     int `json:"silent"`   // connections on which a relay left a line unanswered; see CutOutput
 }
 
 // notServingKey identifies a relay and the proxy that discovery told of it.
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -316,6 +317,12 @@
 		return
 	}
 	s.requested, s.request, s.class = true, request, 0
+	if request.CurrentTarget == r.config.ID { // the relay holds it already
+		s.class = max(slices.IndexFunc(r.config.Classes, func(c Class) bool { return c.Name == request.Class }), 0)
+		s.establish()
+		s.armTimer()
+		return
+	}
 	if r.config.SiteOf != nil {
 		if proxySite := r.config.SiteOf(s.sock.RemoteAddr().Addr()); proxySite != "" && proxySite != r.config.Site {
 			r.ledger.Counts.Crossing++
--- a/internal/lab/attempts.go
+++ b/internal/lab/attempts.go
@@ -23,15 +23,11 @@
 	}
 	j.Attempts++
 	now := j.world.Now()
-	if since, told := j.ledger.NotServingSince(proxy.Addr(), id); told && now.Sub(since) > j.rules.DrainGrace {
-		j.reportViolation("drain-grace", "%s sends request %s to %s %v after it was told that this one takes no new work",
-			proxy.Name(), o.ID, id, now.Sub(since))
-	}
-	if since, told := j.changeClock.unavailableSince(proxy.Addr(), id); told && j.staleFor(proxy, since) > j.rules.DrainGrace {
-		j.reportViolation("stale-list", "%s sends request %s to %s %v after it is deemed to know that this one takes no new work",
-			proxy.Name(), o.ID, id, now.Sub(since))
+	if o.CurrentTarget != "" {
+		j.checkStandingAttempt(proxy.Name(), id, &o)
+	} else {
+		j.checkNewWork(proxy, id, &o)
 	}
-	j.checkColdBudget(proxy.Addr(), proxy.Name(), id, o.Class)
 	r := j.requests[o.ID]
 	if r == nil {
 		j.reportViolation("one-final-answer", "%s sends %s a request %s that no client has made", proxy.Name(), id, o.ID)
@@ -55,6 +51,28 @@
 	r.current, r.lastAttempt = attempt, attempt
 }
 
+// checkNewWork checks that a relay may be sent a new request.
+func (j *judge) checkNewWork(proxy *vnet.Host, id string, o *line.Open) {
+	now := j.world.Now()
+	if since, told := j.ledger.NotServingSince(proxy.Addr(), id); told && now.Sub(since) > j.rules.DrainGrace {
+		j.reportViolation("drain-grace", "%s sends request %s to %s %v after it was told that this one takes no new work",
+			proxy.Name(), o.ID, id, now.Sub(since))
+	}
+	if since, told := j.changeClock.unavailableSince(proxy.Addr(), id); told && j.staleFor(proxy, since) > j.rules.DrainGrace {
+		j.reportViolation("stale-list", "%s sends request %s to %s %v after it is deemed to know that this one takes no new work",
+			proxy.Name(), o.ID, id, now.Sub(since))
+	}
+	j.checkColdBudget(proxy.Addr(), proxy.Name(), id, o.Class)
+}
+
+// checkStandingAttempt checks the request of a connection that stood before the day. It is no new
+// work for the relay that holds it, and goes to no other.
+func (j *judge) checkStandingAttempt(proxy, id string, o *line.Open) {
+	if o.CurrentTarget != id {
+		j.reportViolation("standing-elsewhere", "%s sends %s the connection %s, which %s holds", proxy, id, o.ID, o.CurrentTarget)
+	}
+}
+
 // checkAskAgain checks that a proxy whose discovery call failed calls again before the changes it
 // has missed are deemed known. Proxies that share discovery's answers are exempt, since another one
 // may call in their place.
--- a/internal/lab/fuzz.go
+++ b/internal/lab/fuzz.go
@@ -30,6 +30,7 @@
 	inifile.Encode(&b, "front", s.Front, d.Front)
 	inifile.Encode(&b, "rules", s.Rules, d.Rules)
 	inifile.Encode(&b, "allow", s.Permissions, d.Permissions)
+	inifile.Encode(&b, "standing", s.Standing, d.Standing)
 	kinds, classes := s.Kinds, s.Classes
 	if reflect.DeepEqual(kinds, defaultKinds()) {
 		kinds = nil
@@ -103,7 +104,7 @@
 
 // ScenarioGenerators returns the generators by the names that the flag --days accepts.
 func ScenarioGenerators() map[string]ScenarioGenerator {
-	return map[string]ScenarioGenerator{"any": RandomScenario, "throng": RandomThrong, "cut-output": RandomCutOutput}
+	return map[string]ScenarioGenerator{"any": RandomScenario, "throng": RandomThrong, "cut-output": RandomCutOutput, "standing": RandomStanding}
 }
 
 // RandomScenario generates a small fleet with a few faults of any kind, which may overlap in any
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -48,6 +48,9 @@
 //	                       refused, since a refusal invites the client to repeat it
 //	standing-lost          an established connection is not closed without MOVE while its
 //	                       relay answers
+//	standing-not-up        a connection that a relay has held since before the day comes up
+//	                       within fleet.MaxStandingWait, at the tries that its client makes
+//	standing-elsewhere     such a connection is sent to no other relay
 //	silent-kept            an established connection on which a running relay returns
 //	                       nothing is ended or moved within fleet.MaxSilentConnection
 //	counts                 the proxy's own counts equal those of the sockets
--- a/internal/lab/planted_test.go
+++ b/internal/lab/planted_test.go
@@ -107,6 +107,13 @@
 		to:       "	return h.lastHeard.Before(h.pendingSince) && now.Sub(h.pendingSince) >= maxSilence\n",
 		days:     "cut-output", rules: []string{"silent-kept"},
 	},
+	{
+		name: "a standing connection is given up soon where the list lacks its target", file: "internal/proxy/adoption.go",
+		from:  "	o.Wait = min(o.Wait, maxAdoptWait)\n",
+		to:    "	if o.Wait = min(o.Wait, maxAdoptWait); e.table.Find(id) == nil {\n		o.Wait = min(o.Wait, 2*time.Second)\n	}\n",
+		days:  "standing",
+		rules: []string{"standing-not-up"},
+	},
 	{
 		name: "a cold target passes for a warm one", file: "balance/slowstart.go",
 		function: "func (b *Balancer) warmUpFraction(now time.Time, k *backend) float64", to: "	return 1\n",
--- a/internal/lab/proxies.go
+++ b/internal/lab/proxies.go
@@ -96,7 +96,7 @@
 func (s *stage) knownList() *routes.List {
 	l := &routes.List{Whole: true}
 	for i := range s.relays {
-		if s.relays[i].startsLate {
+		if s.relays[i].startsLate || s.unlisted(i) {
 			continue
 		}
 		n := s.nodes[i]
--- a/internal/lab/relays.go
+++ b/internal/lab/relays.go
@@ -39,6 +39,10 @@
 	if err := s.startRelay(n, false); err != nil {
 		return err
 	}
+	if s.unlisted(i) {
+		s.scheduleListChange(s.scenario.Standing.ListedAfter, func() { s.registry.Set(s.entry(n, 0)) })
+		return nil
+	}
 	s.registry.Set(s.entry(n, 0))
 	return nil
 }
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -31,6 +31,7 @@
 	Front       Front
 	Rules       Rules
 	Permissions Permissions
+	Standing    Standing
 	Faults      []Fault
 }
 
@@ -312,6 +313,7 @@
 	f.Decode("front", &s.Front)
 	f.Decode("rules", &s.Rules)
 	f.Decode("allow", &s.Permissions)
+	f.Decode("standing", &s.Standing)
 	for _, n := range f.SectionNames("kind") {
 		k := kindSection{Share: 1, Cores: 1, Speed: fleet.Range{From: 1, To: 1}, ColdFrom: fleet.Range{From: 0.2, To: 0.2}, Cold: fleet.DurationRange{From: 15 * time.Second, To: 15 * time.Second}}
 		f.Decode("kind "+n, &k)
@@ -420,6 +422,9 @@
 	if least > 1.02 || most < 0.98 {
 		f.AddProblem("class "+s.Classes[0].Name, "share", "the classes' shares add up to %.3f..%.3f, a range without 1", least, most)
 	}
+	if s.Standing.Unlisted >= s.Relays.Count {
+		f.AddProblem("standing", "unlisted", "%d of %d relays: the proxies' first list needs one", s.Standing.Unlisted, s.Relays.Count)
+	}
 	if s.Proxies.MaxDescriptors > 0 && s.Proxies.MaxDescriptors < 100 {
 		f.AddProblem("proxies", "sockets", "%d: fewer than the 100 that a proxy reserves for itself", s.Proxies.MaxDescriptors)
 	}
--- a/internal/lab/stage.go
+++ b/internal/lab/stage.go
@@ -92,6 +92,7 @@
 	}
 	s.sampleConnections()
 	s.runClockChecks()
+	s.scheduleStanding()
 	for i := range d.scenario.Faults {
 		s.scheduleFault(&d.scenario.Faults[i])
 	}
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -145,8 +145,11 @@
 	return !e.table.Empty() || !e.discoveryAnsweredAt.IsZero() || e.loop.Now().Sub(e.startedAt) >= readyTimeout
 }
 
-// Pending reports whether events are waiting for Deliver. The loop must not sleep while they are.
-func (e *Engine) Pending() bool { return len(e.events) > 0 || len(e.actions) > 0 }
+// Pending reports whether events, actions or ended exchanges are waiting for Deliver. The loop must
+// not sleep while they are.
+func (e *Engine) Pending() bool {
+	return len(e.events) > 0 || len(e.actions) > 0 || len(e.toRelease) > 0
+}
 
 // Reasons to reject a request before it reaches the module. An egress target answers such a request
 // with an error, and a healthy target would be ejected for a client's fault.
