ospreylab pressure: one real process beside clients and peers that behave badly

Why: operators of other deployments report that crowds of slow clients, floods on one connection and clients that come again by the same id break rules or memory limits.

Change: the command starts the program with stand-ins on loopback and plays one picture at a time beside ordinary clients. It judges by the answers that these get, by what reaches the servers, and by the largest resident memory.

--- a/cmd/ospreylab/main.go
+++ b/cmd/ospreylab/main.go
@@ -108,7 +108,7 @@
 	root.PersistentFlags().BoolVar(&a.json, "log-json", false, "log as JSON, a line for each event")
 	root.PersistentFlags().StringVar(&a.level, "log-level", "info", "debug, info, warn or error")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(a.runCommand(), a.compareCommand(), a.fuzzCommand(), a.decisionsCommand(), a.growthCommand(), a.ownerCommand(), a.sharedCommand(), a.changesCommand(), a.capacityCommand(), a.listCommand(), a.checkCommand(), a.siteCommand())
+	root.AddCommand(a.runCommand(), a.compareCommand(), a.fuzzCommand(), a.decisionsCommand(), a.growthCommand(), a.ownerCommand(), a.sharedCommand(), a.pressureCommand(), a.changesCommand(), a.capacityCommand(), a.listCommand(), a.checkCommand(), a.siteCommand())
 	return root
 }
 
