Answers to Syncs are sent one after another, at a bounded rate

What callers saw: while membership datagrams asked for the list at full speed, 123 of 395 ordinary clients were answered late or never, and the process used 167 of its 192 MB.

Cause: each Sync was answered at once with a copy of the list and 342 packets, which waited until the end of the wake-up: up to 87,552 packets and 136 MB of copies.

Change: those that ask wait in a queue of 1,024 addresses, each once, and are answered at one record each 25 us in the mean, 0.1 s of it in advance. Ping floods cost 87 us a datagram and no queue, so that the answers, and not the insertions, were the cost.

TestSyncsAreAnsweredAtBoundedRate without the change: 87552 packets at once, want at most 1026.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -35,6 +35,7 @@
 	Died            uint64 // members declared dead
 	NameConflicts   uint64 // members found to have the name of another live member
 	Dropped         uint64 // invalid packets and records that it received and dropped
+	SyncsUnanswered uint64 // Syncs that found too many others waiting for their answer
 }
 
 // Peers is one process's view of the members. It is not safe for concurrent use.
@@ -97,6 +98,9 @@
 	if p.sync.joinAt.Before(due) && p.needsJoin() {
 		due = p.sync.joinAt
 	}
+	if at, ok := p.sync.answers.due(); ok && at.Before(due) {
+		due = at
+	}
 	return due
 }
 
@@ -162,6 +166,7 @@
 
 // Tick performs the periodic work that is due. It may be called at any time.
 func (p *Peers) Tick(now time.Time) {
+	p.answerSyncs(now)
 	if p.left {
 		p.nextPeriodAt = now.Add(p.cfg.Period)
 		return
@@ -207,7 +212,7 @@
 	case PingReq:
 		p.handlePingReq(now, from, packet)
 	case Sync:
-		p.sendMembers(from, SyncAck)
+		p.queueSyncAnswer(now, from)
 	case SyncAck:
 	default:
 		p.Counters.Dropped++
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -234,3 +234,53 @@
 	deliverSync()
 	w.expectMemberCount(t, n)
 }
+
+// Processes that ask for the list of a full table at full speed are answered at a bounded rate, so
+// that neither the answers that wait nor the time of a turn grow with the number of requests; each
+// process that has found a place is answered in the end. Every request was answered at once, with
+// 342 packets and a copy of the list.
+func TestSyncsAreAnsweredAtBoundedRate(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	c := DefaultConfig()
+	c.Name, c.Addr, c.Session, c.Seed = "p", addr(0), 1, 1
+	for i := range mostMembers {
+		c.Known = append(c.Known, Member{Session: uint64(10 + i), Name: fmt.Sprint("m", i), Addr: addr(1 + i), EncodedAddr: addrBytes(addr(1 + i))})
+	}
+	p := New(now, c)
+	const listPackets = (mostMembers + 1 + maxPacketRecords - 1) / maxPacketRecords
+	answered := make(map[netip.AddrPort]int)
+	take := func(limit int) {
+		sends, _ := p.Take()
+		if len(sends) > limit {
+			t.Fatalf("%d packets at once, want at most %d", len(sends), limit)
+		}
+		for _, s := range sends {
+			if s.Packet.Kind == SyncAck {
+				answered[s.To]++
+			}
+		}
+	}
+	const askers, turns, turn = 256, 100, 10 * time.Millisecond // all of them ask in each turn
+	for range turns {
+		for i := range askers {
+			p.Handle(now, addr(i), &Packet{Kind: Sync, Session: uint64(10 + i)})
+		}
+		take(3 * listPackets)
+		now = now.Add(turn)
+		p.Tick(now)
+	}
+	total := 0
+	for _, n := range answered {
+		total += n
+	}
+	if limit := (2 + int(turns*turn/syncBurst)) * listPackets; total > limit || total == 0 {
+		t.Errorf("%d packets in answers within %v, want 1 to %d", total, turns*turn, limit)
+	}
+	for end := now.Add(2 * askers * syncBurst); now.Before(end); now = p.Due() {
+		p.Tick(now)
+		take(3 * listPackets)
+	}
+	if len(answered) != askers {
+		t.Errorf("%d processes were answered, want %d", len(answered), askers)
+	}
+}
