A wake-up for the fleet's datagrams ends after 2 ms, before clients wait

What callers saw: while an operator's tool asked a process with 4,096 members for its view without a pause, 75 of 392 ordinary clients were answered late or never.

Cause: Node.Ready handled up to 256 datagrams in a wake-up, whatever each cost; a view of a full table is 294 datagrams.

Change: Ready ends 2 ms after it began, with the datagram in progress. What waits stays in the socket, which the loop reports again after all others that are ready.

TestDatagramsLeaveTimeForOtherSockets without the change: a turn took 20 ms, want at most 3 ms.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -13,8 +13,13 @@
 	"ospreyspan/internal/poll"
 )
 
-// maxDatagramsPerWakeup limits the number of datagrams read per call of Ready.
-const maxDatagramsPerWakeup = 256
+const (
+	// maxDatagramsPerWakeup limits the number of datagrams read per call of Ready.
+	maxDatagramsPerWakeup = 256
+	// maxWakeupTime limits the time of a call of Ready, after which the loop's other sockets have
+	// their turn. The datagram in progress is finished.
+	maxWakeupTime = 2 * time.Millisecond
+)
 
 // Node is a process's endpoint of the fleet's messages. It must be used only on the goroutine of
 // its loop.
@@ -171,6 +176,7 @@
 
 // Ready is called by the loop when the socket is readable, and handles the waiting datagrams.
 func (n *Node) Ready(poll.Ready) {
+	deadline := n.loop.RefreshNow().Add(maxWakeupTime)
 	for range maxDatagramsPerWakeup {
 		message, from, more := n.transport.receive()
 		if !more {
@@ -182,6 +188,9 @@
 		if n.closed {
 			return
 		}
+		if n.loop.RefreshNow().After(deadline) {
+			break
+		}
 	}
 	n.flush()
 }
