A request that must not run twice does not run again by the same id

What callers saw: a client left while its request ran and came again by the same id; the request was sent again. 58 ids of a single_shot class ran twice or more in 8 s, and 15 of a guarded class ran after the window in which servers drop repeats.

Cause: what a request may have done was known to its exchange and forgotten with it.

Change: internal/proxy/past_requests.go remembers by the client's id, for a minute after the exchange, where and when a request may have run first. A new request by that id starts with this as an earlier hop; where the class forbids another it is answered ERR. At most 65,536 are remembered, as hashes; when that is full, requests of these classes are refused before they are sent, which is the safe way. Only this process is covered.

--- a/internal/lab/pressure/clients.go
+++ b/internal/lab/pressure/clients.go
@@ -22,6 +22,7 @@
 	{"pings", "8 clients send PING and junk at full speed on ever new connections", playPings},
 	{"tiny-lines", "one established client sends tiny and empty lines at full speed", playTinyLines},
 	{"new-names", "8 clients send requests under ever new ids, keys and groups at full speed", playNewNames},
+	{"new-names-once", "the same in a class that must not run twice", playNewNamesOnce},
 	{"unknown-servers", "700 clients ask for connections at servers that do not exist", playUnknownServers},
 	{"leave-at-once", "clients write a request, with much behind it, and leave by FIN or reset", playLeaveAtOnce},
 	{"leave-held-up", "clients leave while the process is stopped", playLeaveHeldUp},
@@ -160,11 +161,15 @@
 	})
 }
 
-func playNewNames(s *stage) {
+func playNewNames(s *stage) { s.playNewNames(classFree) }
+
+func playNewNamesOnce(s *stage) { s.playNewNames(classOnce) }
+
+func (s *stage) playNewNames(class string) {
 	parallel(8, func(i int) {
 		for visit := 0; !s.over(); visit++ {
 			name := fmt.Sprintf("new-%d-%d", i, visit)
-			_, _ = exchange(s.addr, openLine(name, name, classFree, freeDeadline, ",again=1,h=3"), freeDeadline) // any answer will do
+			_, _ = exchange(s.addr, openLine(name, name, class, onceDeadline, ",again=1,h=3"), onceDeadline) // any answer will do
 			s.addLoad(1)
 		}
 	})
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -68,6 +68,7 @@
 	discoveryAnsweredAt time.Time // last answer from discovery; zero: none yet
 	listWait            listWait
 	proofs              acceptanceProofs
+	past                pastRequests
 	peerConfirmedAt     func() time.Time // see SetPeerConfirmation; nil: none confirms
 	unlisted            []*Exchange      // adopted, their targets are not listed; oldest first
 }
@@ -113,6 +114,7 @@
 		Pushed: pushed, Rand: rand.New(rand.NewPCG(c.Seed, 1)), Requests: &c.Count.Watches, OnResult: e.handleDiscoveryAnswer,
 	})
 	e.startedAt = e.loop.Now()
+	e.past = newPastRequests(e.startedAt)
 	module.Start(e.startedAt)
 	// reads both clocks at the same moment
 	e.bootTimes = routes.NewStartTimes(e.loop.RefreshNow(), e.loop.WallTime())
@@ -160,6 +162,11 @@
 	ErrInUse = errors.New("proxy: id already used by an open exchange")
 	// ErrTenant means that the settings list tenants, but not the one that the request names.
 	ErrTenant = errors.New("proxy: unknown tenant")
+	// ErrRepeated means that an earlier request with the same client id may have run, and that the
+	// class does not allow it to run again.
+	ErrRepeated = errors.New("proxy: a request with this id may have run already")
+	// ErrNoRecord means that the request could not be remembered, so that it might run twice.
+	ErrNoRecord = errors.New("proxy: too many requests are remembered")
 )
 
 // Accept creates the exchange for a client's request.
@@ -196,12 +203,7 @@
 	if _, open := e.clientIDs[o.ID]; open {
 		return nil, ErrInUse
 	}
-	if o.ID != "" {
-		e.clientIDs[o.ID] = struct{}{}
-	}
-	e.lastID++
-	e.counters.Exchanges++
-	x := &Exchange{id: e.lastID, clientID: o.ID, engine: e, client: c, deadline: e.loop.Now().Add(o.Wait)}
+	x := &Exchange{id: e.lastID + 1, clientID: o.ID, engine: e, client: c, deadline: e.loop.Now().Add(o.Wait)}
 	x.request = balance.Request{
 		ID: x.id, Class: class, Tenant: tenant, Key: o.Key, Reconnect: o.Again,
 		Timeout: o.Wait - e.answerMargin(o.Wait),
@@ -209,6 +211,14 @@
 	if e.settings.Config.GroupAffinity {
 		x.request.Group = o.AffinityGroup
 	}
+	if err := e.recallPastRun(x); err != nil {
+		return nil, err
+	}
+	if o.ID != "" {
+		e.clientIDs[o.ID] = struct{}{}
+	}
+	e.lastID++
+	e.counters.Exchanges++
 	e.exchanges[x.id] = x
 	x.timer.Fire = func() { e.answerOverdue(x) }
 	e.loop.Arm(&x.timer, x.deadline.Add(-e.answerMargin(o.Wait)/2))
@@ -241,6 +251,7 @@
 func (e *Engine) release(x *Exchange) {
 	e.loop.Disarm(&x.timer)
 	e.releaseLimits(x)
+	e.recordPastRun(x)
 	delete(e.exchanges, x.id)
 	delete(e.clientIDs, x.clientID)
 }
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -108,8 +108,8 @@
 		return
 	}
 	x.hopActive = false
-	if !x.established && x.maybeRanOn == nil && !o.NeverRan() && !x.sentAt.IsZero() {
-		x.maybeRanOn, x.maybeRanSentAt = x.target, x.sentAt
+	if !x.established && !o.NeverRan() && !x.sentAt.IsZero() {
+		x.markMaybeRan()
 	}
 	x.engine.countOutcome(o)
 	if x.established {
@@ -128,6 +128,13 @@
 	}
 }
 
+// markMaybeRan records that the last hop may have run.
+func (x *Exchange) markMaybeRan() {
+	if x.maybeRanOn == nil {
+		x.maybeRanOn, x.maybeRanSentAt = x.target, x.sentAt
+	}
+}
+
 // ClientLeft reports that the client left before it had its answer. A hop whose target cannot have
 // the whole request is cancelled at once, which needs no permission; the module decides on any
 // other.
@@ -144,6 +151,9 @@
 	} else if x.hopActive {
 		x.client.CancelHop()
 		x.hopActive = false
+		if !x.sentAt.IsZero() {
+			x.markMaybeRan()
+		}
 	}
 	x.engine.dropHeldSend(x)
 	switch {
--- a/internal/proxy/lines.go
+++ b/internal/proxy/lines.go
@@ -71,6 +71,8 @@
 	maxDiscard = 64 << 10
 	// lingerTimeout is how long the client may take to close a connection after its last line.
 	lingerTimeout = time.Second
+	// noRecordRetryAfter is the retry delay for a client whose request could not be remembered.
+	noRecordRetryAfter = time.Second
 	// flushTimeout replaces lingerTimeout for a client that is slow to read: if its connection were
 	// closed earlier, the last line would be lost.
 	flushTimeout = 5 * time.Second
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -170,7 +170,7 @@
 		s.exchange, err = f.engine.Accept(s, offer)
 	}
 	if err != nil {
-		s.rejectMalformed(err.Error())
+		s.reject(err)
 		return
 	}
 	s.open, s.state = open, waiting
@@ -178,6 +178,21 @@
 	f.loop.Disarm(&s.timer)
 }
 
+// reject answers a request that the engine does not accept.
+func (s *session) reject(err error) {
+	f := s.frontend
+	switch {
+	case errors.Is(err, ErrRepeated): // a refusal would invite the client to repeat it once more
+		f.counters.Repeated++
+		s.closeAfter(errLine)
+	case errors.Is(err, ErrNoRecord):
+		f.counters.NoRecord++
+		s.closeAfter(busy(f.engine.RetryAfter(noRecordRetryAfter)))
+	default:
+		s.rejectMalformed(err.Error())
+	}
+}
+
 // reply writes a line to a client that has not sent its request yet.
 func (s *session) reply(text []byte) {
 	if s.link.write(text) != nil {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -66,6 +66,9 @@
 	// discovery to list their targets. AdoptionsRefused: those refused meanwhile for lack of
 	// descriptors. AdoptionsExpired: those not established in time.
 	AdoptionsWaited, AdoptionsRefused, AdoptionsExpired int
+	// Repeated: requests answered ERR because an earlier one with the same id may have run.
+	// NoRecord: requests refused because too many earlier ones are remembered.
+	Repeated, NoRecord int
 	// Other counters. Silent: established connections whose target was found to send no data.
 	// Overdue: requests answered at their deadline because the module had not answered. Full:
 	// clients refused for lack of file descriptors. Reloads: configuration reloads. Garbled:
@@ -153,8 +156,8 @@
 		c.ListAgeQuarter, c.ListAgeHalf, c.ListAge1, c.ListAge2, c.ListAge3, c.ListAge5, c.ListAge10, c.ListAge20, c.ListAgeMore)
 	fmt.Fprintf(w, "troubles: probes-failed=%d watches-failed=%d silent=%d out-of-descriptors=%d reloads=%d garbled=%d list-waits=%d lists-expired=%d\n",
 		c.ProbesFailed, c.WatchesFailed, c.Silent, c.Full, c.Reloads, c.Garbled, c.ListWaits, c.ListsExpired)
-	fmt.Fprintf(w, "adopted connections: waited-for-list=%d refused-for-descriptors=%d expired=%d\n",
-		c.AdoptionsWaited, c.AdoptionsRefused, c.AdoptionsExpired)
+	fmt.Fprintf(w, "adopted connections: waited-for-list=%d refused-for-descriptors=%d expired=%d; ids: repeated=%d no-record=%d\n",
+		c.AdoptionsWaited, c.AdoptionsRefused, c.AdoptionsExpired, c.Repeated, c.NoRecord)
 	fmt.Fprintf(w, "hops to cold targets: new=%d reconnect=%d further=%d\n",
 		c.HopsCold-c.HopsColdReconnect-c.HopsColdFurther, c.HopsColdReconnect, c.HopsColdFurther)
 }
