What is kept for peers that do not read has a bound for all connections together

What callers saw: 480 established clients that send at full speed and never read bring a process past its memory limit of 192 MB, where it is killed.

Cause: a backlog had a bound for each connection, 64 KiB and one read of 64 KiB, in two directions; nothing bounded the sum, and buffers kept what they once needed.

Change: all links account for their unsent output. Empty buffers are released. The audit compares the sums.

--- a/cmd/ospreyspan/config.go
+++ b/cmd/ospreyspan/config.go
@@ -31,6 +31,9 @@
 	Sockets  int   `json:"sockets"`   // most open descriptors of any kind; 0: no limit is known
 }
 
+// memoryBytes returns the memory limit in bytes; 0: not limited.
+func (l *limits) memoryBytes() int64 { return l.MemoryMB << 20 }
+
 // seed is a 64-bit random seed, written in hexadecimal in the configuration.
 type seed uint64
 
--- a/cmd/ospreyspan/main.go
+++ b/cmd/ospreyspan/main.go
@@ -72,7 +72,7 @@
 	}
 	defer features.close()
 	proxy, err = instance.New(loop, instance.Config{
-		Fleet: fleet, Name: cfg.Name, Listen: cfg.Listen, Discovery: cfg.Discovery, Seed: uint64(cfg.RandomSeed), MaxDescriptors: cfg.Limits.Sockets,
+		Fleet: fleet, Name: cfg.Name, Listen: cfg.Listen, Discovery: cfg.Discovery, Seed: uint64(cfg.RandomSeed), MaxDescriptors: cfg.Limits.Sockets, MemoryLimit: cfg.Limits.memoryBytes(),
 		KnownList: &cfg.Known, Settings: cfg.settings, Log: logger, Retry: retryTransient,
 	})
 	if err != nil {
@@ -92,6 +92,6 @@
 // process may use.
 func limitMemory(c *config) {
 	if c.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(c.Limits.MemoryMB << 20 / 4 * 3)
+		debug.SetMemoryLimit(c.Limits.memoryBytes() / 4 * 3)
 	}
 }
--- a/cmd/ospreyspan/reload.go
+++ b/cmd/ospreyspan/reload.go
@@ -72,6 +72,6 @@
 	cfg.Name, cfg.Listen, cfg.Settings, cfg.settings = running.Name, running.Listen, running.Settings, running.settings
 	r.config = cfg
 	limitMemory(cfg)
-	proxy.Reload(cfg.Discovery, cfg.Limits.Sockets)
+	proxy.Reload(cfg.Discovery, cfg.Limits.Sockets, cfg.Limits.memoryBytes())
 	r.log.Printf("reload: discovery at %s", cfg.Discovery)
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -25,6 +25,7 @@
 	Discovery      netip.AddrPort
 	Seed           uint64
 	MaxDescriptors int          // descriptors that the process may hold; 0: no known limit
+	MemoryLimit    int64        // bytes of memory that the process may use; 0: no known limit
 	KnownList      *routes.List // last known list of targets
 	Settings       *settings.Settings
 	Tuning         *proxy.Tuning // nil: the defaults
@@ -56,6 +57,7 @@
 		return nil, err
 	}
 	i.front = proxy.NewLineFrontend(i.engine, c.MaxDescriptors)
+	i.front.SetMemoryLimit(c.MemoryLimit)
 	listen := func() error { return i.front.Listen(c.Listen) }
 	if c.Retry != nil {
 		err = c.Retry(listen)
@@ -130,9 +132,11 @@
 // Done reports whether a planned stop has completed.
 func (i *Instance) Done() bool { return i.drained }
 
-// Reload moves the watch to another address of discovery and changes the limit of descriptors.
-func (i *Instance) Reload(discovery netip.AddrPort, maxDescriptors int) {
+// Reload moves the watch to another address of discovery and changes the limits of descriptors and
+// of memory, in bytes.
+func (i *Instance) Reload(discovery netip.AddrPort, maxDescriptors int, memoryLimit int64) {
 	i.front.SetMaxDescriptors(maxDescriptors)
+	i.front.SetMemoryLimit(memoryLimit)
 	i.engine.SetDiscovery(discovery)
 }
 
--- a/internal/proxy/audit.go
+++ b/internal/proxy/audit.go
@@ -21,9 +21,32 @@
 	if err == nil {
 		err = f.auditSockets(hops)
 	}
+	if err == nil {
+		err = f.auditBacklog()
+	}
 	return err
 }
 
+// auditBacklog compares what is accounted for unsent output with the buffers of all links.
+func (f *LineFrontend) auditBacklog() error {
+	held := 0
+	for _, s := range f.sessions {
+		held += cap(s.link.unsent)
+	}
+	for _, x := range f.engine.exchanges { // the sum does not depend on the order
+		if s, ours := x.client.(*session); ours && s.hop != nil {
+			held += cap(s.hop.link.unsent)
+		}
+	}
+	for _, p := range f.targetStates {
+		held += cap(p.link.unsent)
+	}
+	if held != f.backlog.used {
+		return fmt.Errorf("given-back: %d bytes of unsent output are accounted for, links hold %d", f.backlog.used, held)
+	}
+	return nil
+}
+
 // auditExchanges checks each exchange against its session and returns the exchanges with an active
 // hop.
 func (f *LineFrontend) auditExchanges() ([]*Exchange, error) {
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -46,7 +46,7 @@
 func (s *session) startHop(to *routes.Target, wait time.Duration) {
 	f := s.frontend
 	now := f.loop.Now()
-	h := &hop{session: s, target: f.targetState(to), answerDeadline: now.Add(wait), dialDeadline: now.Add(min(wait, f.settings.DialTimeout))}
+	h := &hop{session: s, target: f.targetState(to), link: link{budget: f.backlog}, answerDeadline: now.Add(wait), dialDeadline: now.Add(min(wait, f.settings.DialTimeout))}
 	h.timer.Fire = h.handleTimeout
 	s.hop = h
 	h.connect()
@@ -165,7 +165,7 @@
 }
 
 func (h *hop) read() {
-	lines, err := h.link.readLines(h.session.frontend.scratch)
+	lines, err := h.link.readLines(h.session.frontend.readBuffer())
 	switch {
 	case err == nil && h.state == hopEstablished:
 		h.forwardToClient(lines)
--- a/internal/proxy/lines.go
+++ b/internal/proxy/lines.go
@@ -29,6 +29,7 @@
 	lineBuffer      []byte // for building the first line of a hop
 	drain           drain
 	pendingAttempts pendingAttempts
+	backlog         *backlogBudget
 	sharedSockets   int // sockets on the loop that neither the frontend nor the engine owns
 }
 
@@ -37,7 +38,7 @@
 func NewLineFrontend(e *Engine, maxDescriptors int) *LineFrontend {
 	f := &LineFrontend{
 		loop: e.loop, engine: e, settings: e.settings, counters: e.counters, log: e.log, maxDescriptors: maxDescriptors,
-		targetStates: make(map[string]*targetState), scratch: make([]byte, 64<<10),
+		targetStates: make(map[string]*targetState), scratch: make([]byte, 64<<10), backlog: newBacklogBudget(),
 	}
 	e.prober = f
 	return f
@@ -57,6 +58,10 @@
 // SetMaxDescriptors changes how many descriptors the process may hold; 0 means no limit.
 func (f *LineFrontend) SetMaxDescriptors(n int) { f.maxDescriptors = n }
 
+// SetMemoryLimit sets how many bytes of memory the process may use, of which a part may be output
+// that clients and targets do not read; 0 means no limit.
+func (f *LineFrontend) SetMemoryLimit(bytes int64) { f.backlog.setMemoryLimit(bytes) }
+
 const (
 	// openingTimeout is how long a connection may stay open without a request. Clients usually send
 	// it at once; all others must get an answer within 3 s of connecting, part of which may pass
@@ -80,7 +85,7 @@
 
 func (f *LineFrontend) accept(sock *poll.Socket, last bool) poll.Handler {
 	f.counters.Connections++
-	s := &session{frontend: f, link: link{sock: sock}}
+	s := &session{frontend: f, link: link{sock: sock, budget: f.backlog}}
 	s.timer.Fire = s.handleTimeout
 	s.index = len(f.sessions)
 	f.sessions = append(f.sessions, s)
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -7,9 +7,6 @@
 	"ospreyspan/internal/poll"
 )
 
-// maxBacklog is the number of unsent bytes above which the other side is not read.
-const maxBacklog = 64 << 10
-
 // link is one connection with its line framing. It owns its socket and its buffers; close and reset
 // release them.
 type link struct {
@@ -19,6 +16,17 @@
 	readPaused       bool   // input is not read: the other side is behind or needs no more of it
 	eof              bool   // the remote end has closed its sending side
 	closeWhenFlushed bool   // close the sending side once unsent is empty
+	budget           *backlogBudget
+}
+
+// setUnsent replaces the output that is not written yet, and accounts for its buffer. An empty
+// buffer is released: after a burst hundreds of them would keep what they once needed.
+func (l *link) setUnsent(unsent []byte) {
+	if len(unsent) == 0 {
+		unsent = nil
+	}
+	l.budget.used += cap(unsent) - cap(l.unsent)
+	l.unsent = unsent
 }
 
 // updateInterest tells the loop which socket events the link waits for.
@@ -60,7 +68,7 @@
 		p = p[n:]
 	}
 	if len(p) > 0 {
-		l.unsent = append(l.unsent, p...)
+		l.setUnsent(append(l.unsent, p...))
 		l.updateInterest()
 	}
 	return nil
@@ -72,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	l.unsent = l.unsent[:copy(l.unsent, l.unsent[n:])]
+	l.setUnsent(l.unsent[:copy(l.unsent, l.unsent[n:])])
 	if len(l.unsent) == 0 && l.closeWhenFlushed {
 		l.sock.CloseWrite()
 	}
@@ -104,18 +112,24 @@
 	}
 }
 
-func (l *link) backlogged() bool { return len(l.unsent) > maxBacklog }
+func (l *link) backlogged() bool { return len(l.unsent) > l.budget.linkLimit() }
 
 func (l *link) close() {
 	if l.sock != nil {
 		l.sock.Close()
-		*l = link{}
+		l.release()
 	}
 }
 
 func (l *link) reset() {
 	if l.sock != nil {
 		l.sock.Reset()
-		*l = link{}
+		l.release()
 	}
 }
+
+// release gives back the buffers of a link whose socket is closed.
+func (l *link) release() {
+	l.setUnsent(nil)
+	*l = link{budget: l.budget}
+}
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -64,7 +64,7 @@
 func (f *LineFrontend) targetState(to *routes.Target) *targetState {
 	p := f.targetStates[to.ID]
 	if p == nil {
-		p = &targetState{frontend: f, id: to.ID}
+		p = &targetState{frontend: f, id: to.ID, link: link{budget: f.backlog}}
 		p.timer.Fire = p.handleTimeout
 		f.targetStates[to.ID] = p
 	}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -69,7 +69,7 @@
 		s.discardInput()
 		return
 	}
-	scratch := s.frontend.scratch
+	scratch := s.frontend.readBuffer()
 	if s.state != established {
 		scratch = scratch[:openingReadSize]
 	}
--- a/internal/proxy/standing.go
+++ b/internal/proxy/standing.go
@@ -101,7 +101,7 @@
 		if h.link.sock == nil || h.link.eof {
 			return
 		}
-		lines, err := h.link.readLines(h.session.frontend.scratch)
+		lines, err := h.link.readLines(h.session.frontend.readBuffer())
 		if err != nil || len(lines) == 0 {
 			return
 		}
