Answers of owners about unknown leases are dropped before they leave a trace

Cause: handleOwnerMessage asked the fence for each response, and the fence records a token for each lease that it lets pass.

Change: a response about a lease without a known announcement is dropped and counted.

TestUnsolicitedOwnerResponsesAreDropped without the change: the fence keeps a token of lease new0.

--- a/internal/lab/pressure/clients.go
+++ b/internal/lab/pressure/clients.go
@@ -14,20 +14,20 @@
 
 // clientPictures are played at the port for clients.
 var clientPictures = []picture{
-	{"slow-requests", "700 clients write a byte of a long request each 50 ms", playSlowRequests},
-	{"half-requests", "700 clients stop half way through a request of 4 KB", playHalfRequests},
-	{"many-fields", "700 clients send requests of 3.9 KB of short fields, and stay", playManyFields},
-	{"half-lines", "400 established clients stop half way through a line of 4 KB", playHalfLines},
-	{"unread-echoes", "480 established clients send at full speed and never read", playUnreadEchoes},
-	{"pings", "8 clients send PING and junk at full speed on ever new connections", playPings},
-	{"tiny-lines", "one established client sends tiny and empty lines at full speed", playTinyLines},
-	{"new-names", "8 clients send requests under ever new ids, keys and groups at full speed", playNewNames},
-	{"new-names-once", "the same in a class that must not run twice", playNewNamesOnce},
-	{"unknown-servers", "700 clients ask for connections at servers that do not exist", playUnknownServers},
-	{"leave-at-once", "clients write a request, with much behind it, and leave by FIN or reset", playLeaveAtOnce},
-	{"leave-held-up", "clients leave while the process is stopped", playLeaveHeldUp},
-	{"same-id-once", "clients of a class that must not run twice leave, and come again by the same id", playSameIDOnce},
-	{"same-id-guarded", "the same with a class whose repeats are dropped for 0.5 s only", playSameIDGuarded},
+	{name: "slow-requests", about: "700 clients write a byte of a long request each 50 ms", play: playSlowRequests},
+	{name: "half-requests", about: "700 clients stop half way through a request of 4 KB", play: playHalfRequests},
+	{name: "many-fields", about: "700 clients send requests of 3.9 KB of short fields, and stay", play: playManyFields},
+	{name: "half-lines", about: "400 established clients stop half way through a line of 4 KB", play: playHalfLines},
+	{name: "unread-echoes", about: "480 established clients send at full speed and never read", play: playUnreadEchoes},
+	{name: "pings", about: "8 clients send PING and junk at full speed on ever new connections", play: playPings},
+	{name: "tiny-lines", about: "one established client sends tiny and empty lines at full speed", play: playTinyLines},
+	{name: "new-names", about: "8 clients send requests under ever new ids, keys and groups at full speed", play: playNewNames},
+	{name: "new-names-once", about: "the same in a class that must not run twice", play: playNewNamesOnce},
+	{name: "unknown-servers", about: "700 clients ask for connections at servers that do not exist", play: playUnknownServers},
+	{name: "leave-at-once", about: "clients write a request, with much behind it, and leave by FIN or reset", play: playLeaveAtOnce},
+	{name: "leave-held-up", about: "clients leave while the process is stopped", play: playLeaveHeldUp},
+	{name: "same-id-once", about: "clients of a class that must not run twice leave, and come again by the same id", play: playSameIDOnce},
+	{name: "same-id-guarded", about: "the same with a class whose repeats are dropped for 0.5 s only", play: playSameIDGuarded},
 }
 
 // openLine returns a request with the given id and key. more is appended to the list of values.
@@ -241,7 +241,7 @@
 
 func playLeaveHeldUp(s *stage) {
 	for round := 0; !s.over(); round++ {
-		s.pause(func() {
+		s.processes[0].pause(func() {
 			for i := range 20 {
 				id := fmt.Sprintf("%sheld-%d-%d", recordedPrefix, round, i)
 				c, err := dial(s.addr)
--- a/internal/lab/pressure/datagrams.go
+++ b/internal/lab/pressure/datagrams.go
@@ -15,14 +15,17 @@
 // datagramPictures are played at the operators' port. Its network is trusted, so that they stand
 // for accidents: a loop, a rack that restarts, another fleet under the same name.
 var datagramPictures = []picture{
-	{"new-members", "datagrams name ever new members at full speed", playNewMembers},
-	{"restarting-members", "1,000 members start anew at full speed, each under a new session", playRestartingMembers},
-	{"syncs", "members ask for the whole list of members at full speed", playSyncs},
-	{"fragments", "announcements under ever new names, of which a fragment is missing", playFragments},
-	{"announcements", "whole announcements of 230 KB under ever new names", playAnnouncements},
-	{"views", "operators ask for the view of the process at full speed", playViews},
-	{"evidence", "evidence under ever new sessions and topics", playEvidence},
-	{"garbage", "datagrams of another cluster, damaged ones and noise", playGarbage},
+	{name: "new-members", about: "datagrams name ever new members at full speed", play: playNewMembers},
+	{name: "restarting-members", about: "1,000 members start anew at full speed, each under a new session", play: playRestartingMembers},
+	{name: "syncs", about: "members ask for the whole list of members at full speed", play: playSyncs},
+	{name: "fragments", about: "announcements under ever new names, of which a fragment is missing", play: playFragments},
+	{name: "announcements", about: "whole announcements of 230 KB under ever new names, to a keeper", play: playAnnouncements, keepers: true},
+	{name: "newer-fragments", about: "whole announcements under 256 names, and then fragments of newer ones", play: playNewerFragments, keepers: true},
+	{name: "owner-answers", about: "answers of owners of ever new leases, to a keeper", play: playOwnerAnswers, keepers: true},
+	{name: "lease-requests", about: "requests for ever new leases under ever new sessions, to a keeper", play: playLeaseRequests, keepers: true},
+	{name: "views", about: "operators ask for the view of the process at full speed", play: playViews},
+	{name: "evidence", about: "failures of ever new targets, seen by ever new sessions", play: playEvidence},
+	{name: "garbage", about: "datagrams of another cluster, damaged ones and noise", play: playGarbage},
 }
 
 const clusterName = "pressure"
@@ -32,8 +35,10 @@
 	keyVersion      = 1
 	keyCluster      = 2
 	keyPeers        = 4
+	keyLeaseRequest = 6
 	keyAnnouncement = 10
 	keyView         = 13
+	keyOwnerMessage = 15
 	keyShared       = 16
 )
 
@@ -65,7 +70,7 @@
 
 // flood sends datagrams at full speed until the picture is over.
 func (s *stage) flood(next func(i int) []byte) {
-	c, err := net.Dial("udp", s.meshAddr)
+	c, err := net.Dial("udp", s.processes[0].meshAddr)
 	if err != nil {
 		panic(err) // loopback, an address that was free
 	}
@@ -137,6 +142,16 @@
 	s.paced(func(i int) []byte { return announcementPart(fmt.Sprint("lease", i/fragmentCount), 1, i%fragmentCount) })
 }
 
+func playNewerFragments(s *stage) {
+	const leases = 256
+	s.paced(func(i int) []byte {
+		if round := i / (leases * fragmentCount); round > 0 { // all fragments but the first
+			return announcementPart(fmt.Sprint("lease", i/(fragmentCount-1)%leases), 1+round, 1+i%(fragmentCount-1))
+		}
+		return announcementPart(fmt.Sprint("lease", i/fragmentCount), 1, i%fragmentCount)
+	})
+}
+
 func playViews(s *stage) {
 	s.flood(func(i int) []byte {
 		if i < 2*tableSize/recordsPerDatagram { // the view has a full table of members
@@ -147,18 +162,33 @@
 	})
 }
 
+func playOwnerAnswers(s *stage) {
+	s.flood(func(i int) []byte {
+		return datagram(clusterName, keyOwnerMessage, record{1: fmt.Sprintf("lease-%040d", i), 2: i + 1, 3: i, 4: true, 5: []byte{}})
+	})
+}
+
+func playLeaseRequests(s *stage) {
+	s.flood(func(i int) []byte {
+		claims := []any{map[string]any{"Duty": fmt.Sprint("lease-", i)}}
+		return datagram(clusterName, keyLeaseRequest, map[string]any{"Session": s.rng.Uint64() | 1, "Seq": 1, "Name": "process", "Duties": claims})
+	})
+}
+
+// evidenceCells is the number of cells in a message of evidence.
+const evidenceCells = 8
+
 func playEvidence(s *stage) {
-	topics := []string{"verdicts", "limits", "evidence", "retries"}
 	s.flood(func(i int) []byte {
-		topic := topics[i%len(topics)]
-		if i%8 > 3 {
-			topic = fmt.Sprint("topic", i)
+		var cells []any
+		for j := range evidenceCells {
+			cells = append(cells, record{1: fmt.Sprintf("target-%030d-%d", i, j), 2: 1, 3: record{2: 1}})
 		}
-		data := make([]byte, s.rng.IntN(800))
-		for at := range data {
-			data[at] = byte(s.rng.Uint32())
+		data, err := cbor.Marshal(record{5: []any{record{1: i%1000 + 1, 2: fmt.Sprint("m", i%1000), 4: -1, 5: cells}}})
+		if err != nil {
+			panic(err) // all values are plain
 		}
-		return datagram(clusterName, keyShared, record{1: topic, 2: s.rng.Uint64() | 1, 3: data})
+		return datagram(clusterName, keyShared, record{1: "evidence", 2: s.rng.Uint64() | 1, 3: data})
 	})
 }
 
--- a/internal/lab/pressure/peers.go
+++ b/internal/lab/pressure/peers.go
@@ -5,23 +5,15 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"time"
 )
 
 // peerPictures are played by servers and by discovery.
 var peerPictures = []picture{
-	{"probe-fields", "servers answer probes with 3.9 KB of short fields", playProbeFields},
-	{"probe-flood", "servers answer each probe with lines without end", playProbeFlood},
-	{"discovery-heads", "discovery answers with heads of very many fields", playDiscoveryHeads},
-	{"discovery-pieces", "discovery answers in very small chunks, without end", playDiscoveryPieces},
-}
-
-// pause stops the process while f runs.
-func (s *stage) pause(f func()) {
-	_ = s.process.Process.Signal(syscall.SIGSTOP)
-	f()
-	_ = s.process.Process.Signal(syscall.SIGCONT)
+	{name: "probe-fields", about: "servers answer probes with 3.9 KB of short fields", play: playProbeFields},
+	{name: "probe-flood", about: "servers answer each probe with lines without end", play: playProbeFlood},
+	{name: "discovery-heads", about: "discovery answers with heads of very many fields", play: playDiscoveryHeads},
+	{name: "discovery-pieces", about: "discovery answers in very small chunks, without end", play: playDiscoveryPieces},
 }
 
 // answerProbes has all servers answer probes with f until the picture is over.
--- a/internal/lab/pressure/pressure.go
+++ b/internal/lab/pressure/pressure.go
@@ -58,6 +58,7 @@
 type picture struct {
 	name, about string
 	play        func(s *stage) // returns when the time of the stage is over
+	keepers     bool           // three processes, which are keepers, in place of one
 }
 
 func pictures() []picture { return slices.Concat(clientPictures, peerPictures, datagramPictures) }
@@ -76,10 +77,11 @@
 	if i < 0 {
 		return nil, fmt.Errorf("no picture %q", name)
 	}
-	s, err := newStage(o)
+	p := pictures()[i]
+	s, err := newStage(o, p.keepers)
 	if err != nil {
 		return nil, err
 	}
 	defer s.close()
-	return s.run(pictures()[i]), nil
+	return s.run(p), nil
 }
--- a/internal/lab/pressure/stage.go
+++ b/internal/lab/pressure/stage.go
@@ -1,18 +1,11 @@
 package pressure
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"regexp"
-	"strconv"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -25,15 +18,13 @@
 	aftermath = 2 * time.Second
 )
 
-// stage is one process with the servers, the discovery service and the ordinary clients around it.
+// stage is a process with the servers, the discovery service and the ordinary clients around it.
+// With keepers there are two further processes, which have no clients.
 type stage struct {
 	options    Options
 	dir        string
-	addr       string // of the process, for clients
-	meshAddr   string // of the process, for datagrams
-	process    *exec.Cmd
-	log        bytes.Buffer
-	exited     chan struct{}
+	addr       string // of the first process, for clients
+	processes  []*process
 	servers    []*server
 	discovery  *discovery
 	ordinary   *ordinaryClients
@@ -44,20 +35,20 @@
 	mu         sync.Mutex // guards report
 }
 
-func newStage(o Options) (*stage, error) {
-	s := &stage{options: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), exited: make(chan struct{})}
+func newStage(o Options, keepers bool) (*stage, error) {
+	s := &stage{options: o, rng: rand.New(rand.NewPCG(o.Seed, 1))}
 	var err error
 	if s.dir, err = os.MkdirTemp("", "ospreylab-pressure-"); err != nil {
 		return nil, err
 	}
-	if err := s.start(); err != nil {
+	if err := s.start(keepers); err != nil {
 		s.close()
-		return nil, fmt.Errorf("%w\n%s", err, s.log.String())
+		return nil, err
 	}
 	return s, nil
 }
 
-func (s *stage) start() error {
+func (s *stage) start(keepers bool) error {
 	for i := range serverCount {
 		server, err := newServer(fmt.Sprintf("s-%d", i))
 		if err != nil {
@@ -69,49 +60,13 @@
 	if s.discovery, err = newDiscovery(s.servers); err != nil {
 		return err
 	}
-	if err := s.startProcess(); err != nil {
+	if err := s.startProcesses(keepers); err != nil {
 		return err
 	}
-	return s.awaitReady()
-}
-
-// startProcess writes the program's files and starts it.
-func (s *stage) startProcess() error {
-	var err error
-	if s.addr, err = freeAddress("tcp"); err != nil {
-		return err
+	s.addr = s.processes[0].addr
+	if err := s.awaitReady(); err != nil {
+		return fmt.Errorf("%w\n%s", err, s.processes[0].log.String())
 	}
-	if s.meshAddr, err = freeAddress("udp"); err != nil {
-		return err
-	}
-	config, err := json.Marshal(map[string]any{
-		"name": "n1", "listen": s.addr, "discovery": s.discovery.addr, "seed": fmt.Sprintf("%x", s.options.Seed+1),
-		"limits": map[string]any{"cores": 1, "memory_mb": memoryLimitMB, "sockets": descriptors},
-		"known":  json.RawMessage(s.discovery.list()), "settings": settings(),
-	})
-	if err != nil {
-		return err
-	}
-	configPath, operatorPath := filepath.Join(s.dir, "config.json"), filepath.Join(s.dir, "own.ini")
-	operator := fmt.Sprintf("[fleet]\ncluster = %s\nlisten = %s\nseeds = %s\n[verdicts]\n[retries]\npart = 10\n",
-		clusterName, s.meshAddr, s.meshAddr)
-	if err := os.WriteFile(configPath, config, 0o600); err != nil {
-		return err
-	}
-	if err := os.WriteFile(operatorPath, []byte(operator), 0o600); err != nil {
-		return err
-	}
-	s.process = exec.Command(s.options.Program, "--operator", operatorPath)
-	s.process.Env = append(os.Environ(), "EDGE_CONFIG="+configPath)
-	s.process.Stdout, s.process.Stderr = &s.log, &s.log
-	s.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := s.process.Start(); err != nil {
-		return err
-	}
-	go func() {
-		_ = s.process.Wait() // any end is a crash while the stage stands
-		close(s.exited)
-	}()
 	return nil
 }
 
@@ -133,11 +88,12 @@
 	p.play(s)
 	time.Sleep(aftermath)
 	s.ordinary.stop(&s.report)
-	select {
-	case <-s.exited:
-		s.report.Crashed = true
-	default:
-		s.report.PeakMB = s.peakMB()
+	for _, p := range s.processes {
+		if p.ended() {
+			s.report.Crashed = true
+		} else {
+			s.report.PeakMB = max(s.report.PeakMB, p.peakMB())
+		}
 	}
 	return &s.report
 }
@@ -161,24 +117,10 @@
 	wait.Wait()
 }
 
-var peakField = regexp.MustCompile(`VmHWM:\s*(\d+) kB`)
-
-// peakMB returns the largest resident memory of the process so far.
-func (s *stage) peakMB() int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.process.Process.Pid))
-	found := peakField.FindSubmatch(text)
-	if err != nil || found == nil {
-		return memoryLimitMB // unknown: counts as broken
-	}
-	kb, _ := strconv.Atoi(string(found[1])) // digits, by the expression
-	return kb >> 10
-}
-
-// close ends the process and the stand-ins.
+// close ends the processes and the stand-ins.
 func (s *stage) close() {
-	if s.process != nil && s.process.Process != nil {
-		_ = s.process.Process.Kill() // it may have ended already
-		<-s.exited
+	for _, p := range s.processes {
+		p.close()
 	}
 	for _, server := range s.servers {
 		server.listener.Close()
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -99,6 +99,8 @@
 	// owner; responses that the fence refuses count as well. Old: dropped because they are not
 	// newer than the known one. Early: refused because the floors were not known yet.
 	AnnouncementsAccepted, AnnouncementsStale, AnnouncementsOld, AnnouncementsEarly uint64
+	// Unsolicited: responses about leases whose owner is not known here.
+	Unsolicited uint64
 	// Pull requests sent, and those that got no response.
 	Pulls, PullsLost uint64
 }
--- a/internal/mesh/direct.go
+++ b/internal/mesh/direct.go
@@ -41,14 +41,22 @@
 }
 
 // handleOwnerMessage passes requests, and responses whose token passes the fence, to
-// Config.OnOwnerMessage.
+// Config.OnOwnerMessage. This process sends requests only to owners that it knows by their
+// announcements, so that a response about any other lease is unsolicited: it is dropped before it
+// reaches the fence, which keeps a token for each lease that it accepts.
 func (n *Node) handleOwnerMessage(from netip.AddrPort, m *OwnerMessage) {
 	if n.cfg.OnOwnerMessage == nil || len(m.Lease) > maxLeaseNameBytes {
 		return
 	}
-	if m.IsResponse && !n.fence.Accept(m.Lease, m.Token) {
-		n.Counters.AnnouncementsStale++
-		return
+	if m.IsResponse {
+		if latest := n.announcements.find(m.Lease); latest == nil || !latest.known {
+			n.Counters.Unsolicited++
+			return
+		}
+		if !n.fence.Accept(m.Lease, m.Token) {
+			n.Counters.AnnouncementsStale++
+			return
+		}
 	}
 	n.cfg.OnOwnerMessage(from, m)
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -193,6 +193,37 @@
 	}
 }
 
+// Responses about ever new leases leave nothing behind: each left a token at the fence for good, so
+// that memory grew without end. A response of a known owner still counts.
+func TestUnsolicitedOwnerResponsesAreDropped(t *testing.T) {
+	tc := newTestCluster(t, "one")
+	tc.run(6 * time.Second)
+	o := tc.owner(0)
+	if _, err := o.Announce("d", []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	tc.run(2 * time.Second)
+	for _, n := range tc.nodes {
+		if n == o {
+			continue
+		}
+		delivered := 0
+		n.cfg.OnOwnerMessage = func(netip.AddrPort, *OwnerMessage) { delivered++ }
+		token, _ := o.Holds("d")
+		n.handleOwnerMessage(o.Addr(), &OwnerMessage{Lease: "d", Token: token, IsResponse: true})
+		for i := range 100 {
+			lease := fmt.Sprint("new", i)
+			n.handleOwnerMessage(o.Addr(), &OwnerMessage{Lease: lease, Token: 1 << 40, IsResponse: true})
+			if n.Fence().Floor(lease) != 0 {
+				t.Fatalf("the fence keeps a token of lease %q", lease)
+			}
+		}
+		if delivered != 1 || n.Counters.Unsolicited != 100 {
+			t.Errorf("%d responses delivered, %d unsolicited, want 1 and 100", delivered, n.Counters.Unsolicited)
+		}
+	}
+}
+
 func indexes(n int) []int {
 	list := make([]int, n)
 	for i := range list {
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -117,7 +117,7 @@
 		{"dropped-foreign", c.Foreign}, {"dropped-damaged", c.Damaged}, {"dropped-long", c.Long}, {"unsent", c.Unsent},
 		{"asks", c.LeaseRequests}, {"looks", c.FloorsRequests}, {"words-taken", c.AnnouncementsAccepted}, {"words-stale-refused", c.AnnouncementsStale},
 		{"words-old", c.AnnouncementsOld}, {"words-early", c.AnnouncementsEarly}, {"pulls", c.Pulls}, {"pulls-lost", c.PullsLost},
-		{"members-suspected", p.Suspected}, {"members-died", p.Died}, {"suspicions-refuted", p.Refuted}, {"members-twins", p.NameConflicts}, {"syncs-unanswered", p.SyncsUnanswered},
+		{"members-suspected", p.Suspected}, {"members-died", p.Died}, {"suspicions-refuted", p.Refuted}, {"members-twins", p.NameConflicts}, {"syncs-unanswered", p.SyncsUnanswered}, {"unsolicited", c.Unsolicited},
 	}
 }
 
