--- a/internal/lab/cutoutput_test.go
+++ b/internal/lab/cutoutput_test.go
@@ -1,9 +1,6 @@
 package lab
 
-import (
-	"fmt"
-	"testing"
-)
+import "testing"
 
 // Relays stop answering on some connections after any byte of their output, behind LOAD lines and
 // in the middle of a line. Such connections are ended or moved in time, and the clients are served.
@@ -12,17 +9,9 @@
 // silence was a LOAD was kept for good.
 func TestCutOutput(t *testing.T) {
 	skipIfSlow(t)
-	config := FuzzConfig{Generate: RandomCutOutput}
-	for seed := range uint64(12) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			generated, err := config.scenario(seed)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if r := play(t, generated, seed); r.Clients.SilentLines < 3 || r.Service < 0.5 {
-				t.Errorf("%d connections fell silent, service %.2f; want at least 3 and 0.5", r.Clients.SilentLines, r.Service)
-			}
-		})
-	}
+	playGenerated(t, RandomCutOutput, 12, nil, func(t *testing.T, _ *Scenario, r *Result) {
+		if r.Clients.SilentLines < 3 || r.Service < 0.5 {
+			t.Errorf("%d connections fell silent, service %.2f; want at least 3 and 0.5", r.Clients.SilentLines, r.Service)
+		}
+	})
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -38,6 +38,26 @@
 	return r
 }
 
+// playGenerated plays generated scenarios with the seeds below count, each in a subtest. change, if
+// not nil, changes a scenario before it is played; check examines its result.
+func playGenerated(t *testing.T, generate ScenarioGenerator, count uint64, change func(*Scenario), check func(*testing.T, *Scenario, *Result)) {
+	t.Helper()
+	config := FuzzConfig{Generate: generate}
+	for seed := range count {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s, err := config.scenario(seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if change != nil {
+				change(s)
+			}
+			check(t, s, play(t, s, seed))
+		})
+	}
+}
+
 // The bundled scenarios are read without an error, and no rule is violated on them.
 func TestBundledScenarios(t *testing.T) {
 	files, err := filepath.Glob("../../lab/*.ini")
--- a/internal/lab/pressure/clients.go
+++ b/internal/lab/pressure/clients.go
@@ -26,6 +26,8 @@
 	{name: "unknown-servers", about: "700 clients ask for connections at servers that do not exist", play: playUnknownServers},
 	{name: "leave-at-once", about: "clients write a request, with much behind it, and leave by FIN or reset", play: playLeaveAtOnce},
 	{name: "leave-held-up", about: "clients leave while the process is stopped", play: playLeaveHeldUp},
+	{name: "leave-while-held", about: "clients leave while all servers are full, and these have room again", play: playLeaveWhileHeld},
+	{name: "half-closed", about: "700 clients end their sending behind a request, and stay", play: playHalfClosed},
 	{name: "same-id-once", about: "clients of a class that must not run twice leave, and come again by the same id", play: playSameIDOnce},
 	{name: "same-id-guarded", about: "the same with a class whose repeats are dropped for 0.5 s only", play: playSameIDGuarded},
 }
@@ -259,6 +261,36 @@
 	s.countGone()
 }
 
+func playLeaveWhileHeld(s *stage) {
+	for round := 0; !s.over(); round++ {
+		s.setFull(true)
+		for i := range 50 {
+			id := fmt.Sprintf("%swait-%d-%d", recordedPrefix, round, i)
+			c, err := dial(s.addr)
+			if err != nil {
+				continue
+			}
+			_, _ = c.Write([]byte(openLine(id, "k", classOnce, onceDeadline, "")))
+			time.Sleep(5 * time.Millisecond)
+			leave(c, i%2 == 0)
+			s.checkGone(id, time.Now())
+		}
+		s.setFull(false)
+		time.Sleep(4 * goneGrace)
+	}
+	s.countGone()
+}
+
+func playHalfClosed(s *stage) {
+	s.crowd(crowdSize, func(c net.Conn, i, visit int) bool {
+		if _, err := c.Write([]byte(openLine(fmt.Sprint("closed", i, "-", visit), "k", classFree, time.Second, ""))); err != nil {
+			return false
+		}
+		_ = c.(*net.TCPConn).CloseWrite() // the process may have ended the connection
+		return true
+	})
+}
+
 func playSameIDOnce(s *stage) { s.playSameID(classOnce, 0) }
 
 func playSameIDGuarded(s *stage) { s.playSameID(classGuarded, guardedWindow) }
--- a/internal/lab/pressure/servers.go
+++ b/internal/lab/pressure/servers.go
@@ -54,6 +54,16 @@
 	mu       sync.Mutex
 	runs     map[string][]time.Time // arrivals of requests of recorded ids
 	probe    func(c net.Conn) bool  // answers a probe in place of the server; nil: the server does
+	full     bool                   // refuses requests, which do not run
+}
+
+// setFull has all servers refuse requests, or take them again.
+func (s *stage) setFull(on bool) {
+	for _, server := range s.servers {
+		server.mu.Lock()
+		server.full = on
+		server.mu.Unlock()
+	}
 }
 
 // recordedPrefix marks the ids of requests whose arrivals are remembered.
@@ -97,7 +107,10 @@
 			if err != nil {
 				return
 			}
-			s.record(request.ID)
+			if !s.take(request.ID) {
+				_, _ = c.Write([]byte("BUSY\r\n")) // the process may have ended the connection
+				return
+			}
 			if request.Key == slowKey {
 				time.Sleep(slowWork)
 			}
@@ -123,12 +136,17 @@
 	}
 }
 
-func (s *server) record(id string) {
+// take records the arrival of a request and reports whether the server takes it.
+func (s *server) take(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.full {
+		return false
+	}
 	if strings.HasPrefix(id, recordedPrefix) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
 		s.runs[id] = append(s.runs[id], time.Now())
 	}
+	return true
 }
 
 // runs returns when a request arrived, at any server.
--- a/internal/lab/throng_test.go
+++ b/internal/lab/throng_test.go
@@ -42,18 +42,10 @@
 // the platform do; for servers that do not, see TestDrainWhileDiscoveryRefusesCalls of the program.
 func TestThrongOfManyProxies(t *testing.T) {
 	skipIfSlow(t)
-	config := FuzzConfig{Generate: RandomThrong}
-	for seed := range uint64(4) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			generated, err := config.scenario(seed)
-			if err != nil {
-				t.Fatal(err)
-			}
-			generated.Proxies.Count, generated.Relays.DrainingFailsProbes = 100, true
-			if r := play(t, generated, seed); r.Requests < 200 || r.Service < 0.5 {
-				t.Errorf("%d requests, service %.2f", r.Requests, r.Service)
-			}
-		})
-	}
+	many := func(s *Scenario) { s.Proxies.Count, s.Relays.DrainingFailsProbes = 100, true }
+	playGenerated(t, RandomThrong, 4, many, func(t *testing.T, _ *Scenario, r *Result) {
+		if r.Requests < 200 || r.Service < 0.5 {
+			t.Errorf("%d requests, service %.2f", r.Requests, r.Service)
+		}
+	})
 }
--- a/internal/poll/epoll.go
+++ b/internal/poll/epoll.go
@@ -235,15 +235,11 @@
 func (k *epoll) Read(fd int, p []byte) (int, error) {
 	for {
 		n, err := k.calls.Read(fd, p)
-		switch err {
-		case nil:
+		if err == nil {
 			return n, nil
-		// A shortage is temporary, and the socket stays ready.
-		case unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM:
-			return 0, ErrAgain
-		case unix.EINTR:
-		default:
-			return 0, err
+		}
+		if err != unix.EINTR {
+			return 0, transferError(err)
 		}
 	}
 }
@@ -252,16 +248,23 @@
 func (k *epoll) Send(fd int, p []byte) (int, error) {
 	for {
 		n, err := k.calls.Send(fd, p)
-		switch err {
-		case nil:
+		if err == nil {
 			return n, nil
-		case unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM:
-			return 0, ErrAgain
-		case unix.EINTR:
-		default:
-			return 0, err
 		}
+		if err != unix.EINTR {
+			return 0, transferError(err)
+		}
+	}
+}
+
+// transferError returns the error of a read or write that was not interrupted. A shortage of memory
+// is temporary, and the socket stays ready.
+func transferError(err error) error {
+	switch err {
+	case unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM:
+		return ErrAgain
 	}
+	return err
 }
 
 func (k *epoll) Receive(fd int, p []byte) (int, netip.AddrPort, error) {
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -30,8 +30,6 @@
 	// shortest runs, and readiness is polled about once a second. Discovery may be down for longer,
 	// or have more callers than it can answer; other processes are then no better off.
 	readyTimeout = 4 * time.Second
-	// discoveryLogInterval is the minimum time between two log lines about failing discovery calls.
-	discoveryLogInterval = time.Minute
 )
 
 // Engine drives the decision module. All of its methods run on the event loop.
@@ -128,17 +126,6 @@
 	return e, nil
 }
 
-// SetDiscovery points the watch at another discovery address. The route table is kept until the new
-// address answers.
-func (e *Engine) SetDiscovery(at netip.AddrPort) {
-	e.counters.Reloads++
-	if at != e.discoveryAddr {
-		// list versions of another discovery are unrelated to these
-		e.discoveryAddr, e.newestPeerSeq = at, 0
-	}
-	e.watch.SetAddr(at)
-}
-
 // CanServe reports whether clients should be sent to this process. A process that has just started
 // and has no targets would refuse clients that another process could serve. Once discovery has
 // answered, CanServe stays true even for an empty list. It is true in any case from readyTimeout
@@ -341,67 +328,6 @@
 	}
 }
 
-// handleDiscoveryAnswer takes a list from discovery, or the error of the call.
-func (e *Engine) handleDiscoveryAnswer(l *routes.List, err error) {
-	if err != nil {
-		e.recordFailedCall()
-		e.counters.WatchesFailed++
-		if errors.Is(err, routes.ErrBusy) {
-			e.counters.WatchesBusy++
-		}
-		// With many processes on one discovery, every other call may fail; the counters have
-		// them all.
-		if now := e.loop.Now(); !e.discoveryFailed && (e.discoveryLoggedAt.IsZero() || now.Sub(e.discoveryLoggedAt) >= discoveryLogInterval) {
-			e.log.Printf("discovery: %v", err)
-			e.discoveryFailed, e.discoveryLoggedAt = true, now
-		}
-		e.push(event{kind: evList, list: balance.ListBroken})
-		return
-	}
-	if e.discoveryFailed {
-		e.log.Printf("discovery: answering again")
-	}
-	before := e.discoveryAnsweredAt
-	e.discoveryFailed, e.discoveryAnsweredAt = false, e.loop.Now()
-	e.resumeSends(true)
-	if l.Seq < e.newestPeerSeq {
-		return // another process has passed on a later list meanwhile
-	}
-	e.bootTimes.SetStarts(l, e.discoveryAnsweredAt, before)
-	e.applyList(l)
-	if e.onDiscoveryAnswer != nil {
-		e.onDiscoveryAnswer()
-	}
-}
-
-// applyList merges a list into the route table and tells the module.
-func (e *Engine) applyList(l *routes.List) {
-	kind := balance.ListPatch
-	if l.Whole {
-		kind = balance.ListWhole
-	}
-	stopped := e.table.Merge(l)
-	e.push(event{kind: evList, list: kind, entries: backends(l.Hosts)})
-	e.startListedAdoptions()
-	for _, id := range stopped {
-		e.cancelUnsentHops(id)
-		e.proofs.forget(id)
-		if e.table.Find(id) == nil {
-			e.prober.Forget(id)
-		}
-	}
-}
-
-// cancelUnsentHops cancels the hops whose request has not reached a target that takes no new work:
-// a hop that is still connecting could be sent after the time that the rules allow.
-func (e *Engine) cancelUnsentHops(id string) {
-	for _, x := range e.sortedExchanges() {
-		if x.hopActive && !x.established && x.adoption == nil && x.target.ID == id && x.client.CancelUnsent() {
-			x.Ended(balance.NoConnect, noReport)
-		}
-	}
-}
-
 // countOutcome counts the end of a hop.
 func (e *Engine) countOutcome(o balance.Outcome) {
 	switch o {
--- a/internal/routes/http.go
+++ b/internal/routes/http.go
@@ -96,7 +96,8 @@
 	return resp, nil
 }
 
-// Trailer fields may follow, up to an empty line.
+// decodeChunked decodes a body in chunked transfer encoding. The error is errIncomplete if its end
+// has not arrived yet.
 func decodeChunked(data []byte) ([]byte, error) {
 	var body []byte
 	for {
@@ -116,7 +117,7 @@
 			return nil, errTooLarge
 		}
 		if n == 0 {
-			// decodeChunked decodes a body in chunked transfer encoding.
+			// Trailer fields may follow, up to an empty line.
 			if bytes.HasPrefix(rest, []byte("\r\n")) || bytes.Contains(rest, []byte("\r\n\r\n")) {
 				return body, nil
 			}
